--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -119,6 +119,13 @@
 	return ok && j.storedChange >= change
 }
 
+// mayRequest reports whether the job's tasks could get permission to run in a data centre for which the ledger has none
+// yet.
+func (j *job) mayRequest(dataCentre string) bool {
+	_, requested := j.remoteDataCentres[dataCentre]
+	return dataCentre != j.Home && !requested
+}
+
 // mayHaveRunIn reports whether an earlier leader may have started tasks of the job in the data centre. An empty name is
 // an unknown data centre.
 func (j *job) mayHaveRunIn(dataCentre string) bool {
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -20,8 +20,13 @@
 	Description string `json:"why"`
 	// Pools holds the number of 16-core instances by pool. Instances of the pool "spare" run nothing until they are
 	// moved.
-	Pools   map[string]int `json:"pools"`
-	Traffic []stream       `json:"traffic"`
+	Pools map[string]int `json:"pools"`
+	// DataCentres is the number of data centres over which the instances and the callers are spread, 0 for one without
+	// homes of jobs.
+	DataCentres int `json:"data_centres"`
+	// OrdersPerSecond is the rate limit of the instance service, 0 for the testbed's default.
+	OrdersPerSecond float64  `json:"orders_per_second"`
+	Traffic         []stream `json:"traffic"`
 	// CountedPool is the pool whose jobs are counted; if it is empty, all jobs are counted.
 	CountedPool string `json:"counted"`
 	// MinOnTime is the minimum share of the counted jobs that must meet their objective.
@@ -75,6 +80,9 @@
 			tasks := st.MinTasks + random.IntN(st.MaxTasks-st.MinTasks+1)
 			job := singleStepJob(fmt.Sprintf("%016x", 0xa000+len(all)), st.Pool, tasks, time.Duration(st.TaskDuration))
 			job.Steps[0].Size.MilliCores = st.MilliCores
+			if l.DataCentres > 0 {
+				job.Home = l.dataCentre(len(all))
+			}
 			taskDuration := time.Duration(float64(st.TaskDuration) * (1 + st.MaxDeviation*(2*random.Float64()-1)))
 			all = append(all, submission{at: at, job: job, taskDuration: taskDuration, widest: tasks >= st.MaxTasks-(st.MaxTasks-st.MinTasks)/10})
 		}
@@ -82,6 +90,11 @@
 	return all
 }
 
+// dataCentre returns the data centre of the instance or job with the number.
+func (l *load) dataCentre(number int) string {
+	return string(rune('a' + number%max(1, l.DataCentres)))
+}
+
 func (l *load) isCounted(s submission) bool {
 	return l.CountedPool == "" || s.job.Queue == l.CountedPool
 }
@@ -105,13 +118,17 @@
 	var pools []string
 	for pool, n := range l.Pools {
 		for i := range n {
-			b.fleet.Add(fmt.Sprintf("%s%d", pool, i), pool, "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+			home := l.dataCentre(i)
+			b.fleet.Add(fmt.Sprintf("%s%d", pool, i), pool, home, "r"+home+"-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
 		}
 		if pool != "spare" {
 			pools = append(pools, pool)
 		}
 	}
 	b.startEpoch(1, pools...)
+	if l.OrdersPerSecond > 0 {
+		b.onLoop(func() { b.s.Limits.OrdersPerSecond = l.OrdersPerSecond })
+	}
 	time.Sleep(2 * time.Second)
 	began := time.Now()
 	var submitted sync.WaitGroup
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -22,12 +22,9 @@
 
 // planner places the tasks of one pool in one pass.
 type planner struct {
-	s       *Scheduler
-	now     time.Duration
-	workers []*workerState
-	// unplaceable holds the sizes for which no worker was found in this pass; unconstrained tasks of at least such a
-	// size are skipped.
-	unplaceable []work.Size
+	s          *Scheduler
+	now        time.Duration
+	candidates candidates
 	// missingWorkers is the number of additional workers that unplaced tasks need because of placement constraints.
 	missingWorkers int
 }
@@ -41,7 +38,7 @@
 	pl := &planner{s: s, now: now}
 	for w := range p.workers {
 		if s.usable(w, now) {
-			pl.workers = append(pl.workers, w)
+			pl.candidates.add(w)
 		}
 	}
 	for _, j := range jobs {
@@ -78,29 +75,15 @@
 	return true
 }
 
-// allowAnotherDataCentre records in the ledger that the job's tasks may run in one more data centre: the one with the
-// most free capacity on workers that have enough for a task of the step.
-func (pl *planner) allowAnotherDataCentre(step *stepState) {
+// allowDataCentres records in the ledger that the job's tasks may run in up to n more data centres: those with the most
+// free capacity on workers that have enough for a task of the step.
+func (pl *planner) allowDataCentres(step *stepState, n int) {
 	j := step.occurrence.job
 	if j.Home == "" {
 		return
 	}
-	size := step.size()
-	capacity := make(map[string]int64)
-	for _, w := range pl.workers {
-		_, requested := j.remoteDataCentres[w.DataCentre]
-		if w.DataCentre != j.Home && !requested && w.free().Holds(size) {
-			capacity[w.DataCentre] += w.free().MilliCores
-		}
-	}
-	best := ""
-	for dataCentre, free := range capacity {
-		if best == "" || free > capacity[best] || free == capacity[best] && dataCentre < best {
-			best = dataCentre
-		}
-	}
-	if best != "" {
-		j.allowDataCentre(best, pl.s.markDirty(j))
+	for _, dataCentre := range pl.candidates.mostFree(step.size(), n, j.mayRequest) {
+		j.allowDataCentre(dataCentre, pl.s.markDirty(j))
 	}
 }
 
@@ -115,15 +98,16 @@
 	if !pl.s.ensureTickets(step, pl) {
 		return
 	}
+	if pl.isHopeless(step) {
+		pl.missingWorkers = max(pl.missingWorkers, step.workersFor(step.waiting))
+		return
+	}
 	unplaced := 0
 	for _, t := range step.tasks {
 		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore {
 			continue
 		}
 		w := pl.selectWorker(step, t, nil)
-		if w == nil {
-			pl.allowAnotherDataCentre(step)
-		}
 		if w != nil {
 			pl.logSpeculativeRun(t, w)
 			pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
@@ -132,10 +116,26 @@
 		unplaced++
 	}
 	if unplaced > 0 {
+		pl.allowDataCentres(step, unplaced)
 		pl.missingWorkers = max(pl.missingWorkers, step.workersFor(unplaced))
 	}
 }
 
+// isHopeless reports whether no task of the step can start in this pass, and no data centre that the job may not use yet
+// has room for one.
+func (pl *planner) isHopeless(step *stepState) bool {
+	if step.spec.Speculative {
+		return false
+	}
+	size := step.size()
+	for _, g := range pl.candidates.groups {
+		if !g.isUnplaceable(size) {
+			return false
+		}
+	}
+	return true
+}
+
 // logSpeculativeRun logs that a task gets a second run in parallel with its first one.
 func (pl *planner) logSpeculativeRun(t *task, w *workerState) {
 	if len(t.runs) == 0 {
@@ -175,7 +175,7 @@
 		}
 		w := pl.selectWorker(step, t, reserved)
 		if w == nil {
-			pl.allowAnotherDataCentre(step)
+			pl.allowDataCentres(step, 1)
 			return
 		}
 		reserved[w] = reserved[w].Plus(step.size())
@@ -187,16 +187,6 @@
 	}
 }
 
-// isUnplaceable reports whether a task of the same size or smaller found no worker in this pass.
-func (pl *planner) isUnplaceable(size work.Size) bool {
-	for _, f := range pl.unplaceable {
-		if size.Holds(f) {
-			return true
-		}
-	}
-	return false
-}
-
 // unconstrained reports whether every worker with enough free capacity may run the step.
 func (st *stepState) unconstrained() bool {
 	return st.spec.MaxPerWorker == 0 && st.spec.Label == "" && st.tickets.byWorker == nil && !st.spec.Gang
@@ -206,27 +196,36 @@
 // qualifies. The sizes in reserved are treated as used.
 func (pl *planner) selectWorker(step *stepState, t *task, reserved map[*workerState]work.Size) *workerState {
 	size := step.size()
-	unconstrained := step.unconstrained() && len(t.failedOn) == 0 && step.occurrence.job.Home == ""
-	if unconstrained && pl.isUnplaceable(size) {
-		return nil
-	}
+	unconstrained := step.unconstrained() && len(t.failedOn) == 0
+	j := step.occurrence.job
 	var best *workerState
 	var bestCost float64
-	for _, w := range pl.workers {
-		free := w.free()
-		if reserved != nil {
-			free = free.Minus(reserved[w])
+	for _, g := range pl.candidates.startingWith(j.Home) {
+		if best != nil && bestCost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
+			// No worker outside the home data centre costs less.
+			break
 		}
-		if !free.Holds(size) || !pl.allowed(step, t, w) {
+		if !j.mayRunIn(g.dataCentre) || g.isUnplaceable(size) {
 			continue
 		}
-		cost := pl.cost(step, w, free, reserved)
-		if best == nil || cost < bestCost || cost == bestCost && w.ID < best.ID {
-			best, bestCost = w, cost
+		found := false
+		for _, w := range g.workers {
+			free := w.free()
+			if reserved != nil {
+				free = free.Minus(reserved[w])
+			}
+			if !free.Holds(size) || !pl.allowed(step, t, w) {
+				continue
+			}
+			found = true
+			cost := pl.cost(step, w, free, reserved)
+			if best == nil || cost < bestCost || cost == bestCost && w.ID < best.ID {
+				best, bestCost = w, cost
+			}
+		}
+		if !found && unconstrained {
+			g.unplaceable = append(g.unplaceable, size)
 		}
-	}
-	if best == nil && unconstrained {
-		pl.unplaceable = append(pl.unplaceable, size)
 	}
 	return best
 }
@@ -246,7 +245,7 @@
 	}
 	// A task is not retried on an instance where it failed while there are alternatives. Long-running tasks are exempt,
 	// because they fail on any instance.
-	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.workers) <= len(t.failedOn)
+	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn)
 }
 
 const (
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -27,14 +27,18 @@
 
 // waitingJobs returns the jobs that have tasks to start, in scheduling order.
 func (p *pool) waitingJobs(now time.Duration) []*job {
-	var waiting []*job
+	var waiting []rankedJob
 	for j := range p.jobs {
 		if (j.waiting > 0 || j.maySpeculate) && j.queue != nil {
-			waiting = append(waiting, j)
+			waiting = append(waiting, j.rank(now))
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *job) int { return compareJobs(a, b, now) })
-	return waiting
+	slices.SortFunc(waiting, compareJobs)
+	jobs := make([]*job, len(waiting))
+	for i, r := range waiting {
+		jobs[i] = r.job
+	}
+	return jobs
 }
 
 // classLate is the service class of jobs that can no longer meet their objective.
@@ -76,16 +80,26 @@
 	return longest
 }
 
-// compareJobs orders jobs by service class; late jobs by arrival and the others by the slack to their objective.
-func compareJobs(a, b *job, now time.Duration) int {
-	ca, cb := a.serviceClass(now), b.serviceClass(now)
-	if ca != cb {
-		return cmp.Compare(ca, cb)
-	}
-	if ca == classLate {
-		return cmp.Or(cmp.Compare(a.arrived, b.arrived), cmp.Compare(a.ID, b.ID))
+// rankedJob is a job with what decides its place in the scheduling order.
+type rankedJob struct {
+	*job
+	class int
+	// key orders the jobs of a class: the arrival of late jobs, and the slack of the others to their objective.
+	key time.Duration
+}
+
+// rank returns the job with its place in the scheduling order.
+func (j *job) rank(now time.Duration) rankedJob {
+	r := rankedJob{job: j, class: j.serviceClass(now)}
+	if r.class == classLate {
+		r.key = j.arrived
+	} else {
+		r.key = j.objective() - j.remaining()
 	}
-	slackA := a.objective() - a.remaining()
-	slackB := b.objective() - b.remaining()
-	return cmp.Or(cmp.Compare(slackA, slackB), cmp.Compare(a.ID, b.ID))
+	return r
+}
+
+// compareJobs orders jobs by service class; late jobs by arrival and the others by the slack to their objective.
+func compareJobs(a, b rankedJob) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key), cmp.Compare(a.ID, b.ID))
 }
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -54,7 +54,7 @@
 			GangTimeout: 3 * time.Second, RemoteFactor: 1.5, CheckpointEvery: 2 * time.Second, Restore: 100 * time.Millisecond,
 		})
 		fleet.SparePool = "spare"
-		b := &testbed{t: t, loop: control.New(500), store: store, checker: checker, fleet: fleet, began: time.Now()}
+		b := &testbed{t: t, loop: control.New(3000), store: store, checker: checker, fleet: fleet, began: time.Now()}
 		ctx, cancel := context.WithCancel(context.Background())
 		started := make(chan struct{})
 		done := make(chan error, 1)
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -61,7 +61,7 @@
 		st.denied = make(map[string]bool)
 	}
 	available := 0
-	for _, w := range pl.workers {
+	for _, w := range pl.candidates.workers {
 		if st.allows(w, pl.now) && w.free().Holds(step.size()) {
 			available++
 		}
@@ -76,7 +76,7 @@
 func (s *Scheduler) requestTickets(step *stepState, pl *planner) {
 	st := &step.tickets
 	var ids []string
-	for _, w := range pl.workers {
+	for _, w := range pl.candidates.workers {
 		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && w.free().Holds(step.size()) {
 			ids = append(ids, w.ID)
 		}
