--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -211,6 +211,14 @@
 	})
 }
 
+// Remove ends and deregisters the worker of an instance and takes the instance away for good.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWorkerLocked(f.instances[id], true)
+	delete(f.instances, id)
+}
+
 // Instances returns the sorted IDs of the instances.
 func (f *Fleet) Instances() []string {
 	f.mu.Lock()
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -142,13 +142,22 @@
 	}
 }
 
-// checkListed removes the worker if the instance list shows another worker, or none, on its instance. A worker that
-// registered within listLag before the list was requested may not be listed yet and is skipped.
+// checkListed removes the worker if the instance list shows another worker, or none, on its instance, or if the worker
+// isn't registered and two lists in a row lack its instance, which was taken away then. A worker that registered within
+// listLag before the list was requested may not be listed yet and is skipped.
 func (s *Scheduler) checkListed(w *workerState, sent time.Duration) {
 	i, listed := s.fleet.instances[w.Instance]
-	if w.Instance == "" || !listed || w.firstRegistered+listLag > sent {
+	if w.Instance == "" || w.firstRegistered+listLag > sent {
 		return
 	}
+	if !listed {
+		if w.unlisted && !w.registered {
+			s.removeWorker(w, "instance list no longer contains its instance")
+		}
+		w.unlisted = true
+		return
+	}
+	w.unlisted = false
 	if i.Worker != w.ID {
 		s.removeWorker(w, "instance list reports state "+string(i.State)+" with worker "+strconv.Quote(i.Worker))
 	}
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -241,3 +241,22 @@
 		})
 	})
 }
+
+// Guards against holding back the jobs of a data centre for the whole lease of a worker whose instance was taken away
+// just before a leader change: the roster still has the worker, but the instance list doesn't have its instance.
+func TestRemovedInstanceHoldsNoJobs(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		b.fleet.Remove("m2")
+		job := singleStepJob(firstJob, "p", 4, 100*time.Millisecond)
+		job.Home = "a"
+		b.onLoop(b.s.End)
+		b.submit(job, 100*time.Millisecond)
+		b.startEpoch(2, "p")
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -37,6 +37,8 @@
 	firstRegistered time.Duration
 	// registered is set while the store holds the worker's registration.
 	registered bool
+	// unlisted is set while the latest instance list lacks the worker's instance.
+	unlisted bool
 	// rostered is set once the ledger's roster lists the worker as one that may run tasks, rostering while that is
 	// being written.
 	rostered, rostering bool
