--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"samphirekeel.example/keel/fault"
@@ -51,14 +52,16 @@
 }
 
 func (s *Entry) methods() map[string]peer.Method {
-	return map[string]peer.Method{
+	methods := s.relayMethods()
+	maps.Copy(methods, map[string]peer.Method{
 		methodSubmitted: peer.NewMethod(func(ctx context.Context, in submission) queryResponse { return s.handleSubmitted(ctx, in) }),
 		methodState:     peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleState(ctx, in.Name) }),
 		methodCancel:    peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleCancel(ctx, in.Name) }),
 		methodAccept:    peer.NewMethod(func(ctx context.Context, in submission) acceptResponse { return s.handleAccept(ctx, in) }),
 		methodOperator:  peer.NewMethod(func(ctx context.Context, _ query) operatorRowsResponse { return s.listOperatorRows(ctx) }),
 		methodPending:   peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handlePending(ctx, in.Name) }),
-	}
+	})
+	return methods
 }
 
 // acceptResponse is the outcome of a forwarded job.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -21,6 +21,7 @@
 	"samphirekeel.example/keel/peer"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
+	"samphirekeel.example/keel/relay"
 	"samphirekeel.example/keel/schedule"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/worker"
@@ -92,6 +93,8 @@
 	// system's clocks if nil.
 	Now  func() time.Duration
 	Wall func() time.Duration
+	// RelayMinWorkers is the number of workers from which the leader sends its orders through relays, 0 for the default.
+	RelayMinWorkers int
 
 	loop        *control.Loop
 	lease       *leader.Lease
@@ -101,6 +104,8 @@
 	registry    *prometheus.Registry
 	metrics     *schedule.Metrics
 	scheduler   *schedule.Scheduler
+	relayClient *relay.Client
+	relayServer *relay.Server
 	waves       map[int64]provider.Wave
 	// operatorRows holds the newest known version of each row of the operator, by name.
 	operatorRows map[string]table.Row
@@ -126,7 +131,11 @@
 // read the settings file again.
 func (s *Entry) Run(ctx context.Context, reload <-chan struct{}) error {
 	s.setDefaults()
-	s.build()
+	err := s.build()
+	if err != nil {
+		return err
+	}
+	defer s.relayServer.Close()
 	opened, err := s.listen()
 	if err != nil {
 		return err
@@ -186,9 +195,12 @@
 	if s.Wall == nil {
 		s.Wall = wallClock
 	}
+	if s.RelayMinWorkers == 0 {
+		s.RelayMinWorkers = defaultRelayMinWorkers
+	}
 }
 
-func (s *Entry) build() {
+func (s *Entry) build() error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.Settings.Limits.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	s.registry = prometheus.NewRegistry()
@@ -210,6 +222,7 @@
 			return s.scheduler.RecentOrders()
 		},
 	}
+	return s.buildRelays()
 }
 
 // rank returns the rank of this entry among the candidates for a free lease; a higher rank waits longer. Entries with
@@ -226,17 +239,18 @@
 	return rank
 }
 
-// start starts the lease and the operator's feed; it is called on the loop.
+// start starts the lease, the operator's feed and the offers to the leader; it is called on the loop.
 func (s *Entry) start() {
 	s.lease.Start()
 	s.followOperatorTable()
+	s.loop.Every(relay.OfferInterval, s.offerRelay)
 }
 
 // startLeading starts the scheduler for a new epoch; it is called on the loop when the lease is acquired.
 func (s *Entry) startLeading(epoch int64, previous leader.Record) {
 	now := s.Now()
 	s.scheduler = &schedule.Scheduler{
-		Loop: s.loop, Log: s.Log, Store: s.Store, Workers: s.Workers, Provider: s.Provider, Policy: s.Policy,
+		Loop: s.loop, Log: s.Log, Store: s.Store, Workers: s.relayClient.Workers(), Provider: s.Provider, Policy: s.Policy,
 		Bounds: s.Settings.Bounds, Limits: s.Settings.InstanceService, Metrics: s.metrics, Holder: s.Settings.Name, Epoch: epoch,
 		Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
 		InstanceOrdersFrom: make(map[string]time.Duration),
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -37,6 +37,8 @@
 	unresponsive bool
 	ended        bool
 	sequence     uint64
+	// executesLate is set while an order is carried out that was delayed by the fleet's lateShare.
+	executesLate bool
 
 	// highestToken is the highest fencing token that the worker has seen.
 	highestToken int64
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -62,7 +62,13 @@
 	}
 	if f.drawLateOrder() {
 		delay := minLateOrderDelay + time.Duration(f.randomFloat()*float64(maxLateOrderDelay-minLateOrderDelay))
-		time.AfterFunc(delay, func() { f.execute(w, handle) })
+		time.AfterFunc(delay, func() {
+			f.execute(w, func(w *Worker) worker.Reply {
+				w.executesLate = true
+				defer func() { w.executesLate = false }()
+				return handle(w)
+			})
+		})
 		<-ctx.Done()
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "emulated response lost").WithOutcome(fault.Unknown)
 	}
@@ -110,6 +116,9 @@
 			if !sleep(ctx, orderLatency) {
 				return worker.Status{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
 			}
+			if o.EndsSuffice && len(status.Ended) > 0 {
+				status.Running, status.Partial = nil, true
+			}
 			return status, nil
 		}
 		timer := time.NewTimer(time.Until(deadline))
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -263,7 +263,8 @@
 	return call(ctx, n, address, MethodJobsChanged, JobsChanged{Pool: pool}, &struct{}{})
 }
 
-// call calls a method of the peer within the node's timeout, and closes the link if it gets no response.
+// call calls a method of the peer within the node's timeout, and closes the link if it gets no response. It fails with
+// outcome not_run if the peer can't be reached, and unknown if the call fails after that.
 func call(parent context.Context, n *Node, address, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(parent, n.Timeout)
 	defer cancel()
@@ -278,5 +279,5 @@
 	if _, responded := err.(*jsonrpc2.Error); !responded && parent.Err() == nil {
 		n.closeFailed(address, conn, err)
 	}
-	return fault.Wrap(fault.NotReady, err, "peer %s", address)
+	return fault.Wrap(fault.NotReady, err, "peer %s", address).WithOutcome(fault.Unknown)
 }
--- a/keel/schedule/api.go
+++ b/keel/schedule/api.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// WorkerCount returns the number of workers.
+func (s *Scheduler) WorkerCount() int { return len(s.workers) }
+
 // PendingJobs returns the number of the queue's open jobs of which no task has started.
 func (s *Scheduler) PendingJobs(name string) int {
 	n := 0
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -198,38 +198,62 @@
 	size := step.size()
 	unconstrained := step.unconstrained() && len(t.failedOn) == 0
 	j := step.occurrence.job
-	var best *workerState
-	var bestCost float64
+	var best placement
 	for _, g := range pl.candidates.startingWith(j.Home) {
-		if best != nil && bestCost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
+		if best.worker != nil && best.cost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
 			// No worker outside the home data centre costs less.
 			break
 		}
 		if !j.mayRunIn(g.dataCentre) || g.isUnplaceable(size) {
 			continue
 		}
-		found := false
-		for _, w := range g.workers {
-			free := w.free()
-			if reserved != nil {
-				free = free.Minus(reserved[w])
-			}
-			if !free.Holds(size) || !pl.allowed(step, t, w) {
-				continue
-			}
-			found = true
-			cost := pl.cost(step, w, free, reserved)
-			if best == nil || cost < bestCost || cost == bestCost && w.ID < best.ID {
-				best, bestCost = w, cost
-			}
-		}
-		if !found && unconstrained {
+		found := pl.selectInGroup(g, step, t, reserved)
+		if found.worker == nil && unconstrained {
 			g.unplaceable = append(g.unplaceable, size)
 		}
+		if found.betterThan(best) {
+			best = found
+		}
+	}
+	return best.worker
+}
+
+// selectInGroup returns the best placement of the task in the group, without a worker if none qualifies.
+func (pl *planner) selectInGroup(g *candidateGroup, step *stepState, t *task, reserved map[*workerState]work.Size) placement {
+	size := step.size()
+	var best placement
+	for _, w := range g.workers {
+		free := w.free()
+		if reserved != nil {
+			free = free.Minus(reserved[w])
+		}
+		if !free.Holds(size) || !pl.allowed(step, t, w) {
+			continue
+		}
+		found := placement{w, pl.cost(step, w, free, reserved)}
+		if found.betterThan(best) {
+			best = found
+		}
 	}
 	return best
 }
 
+// placement is a worker for a task with its placement cost.
+type placement struct {
+	worker *workerState
+	cost   float64
+}
+
+func (p placement) betterThan(other placement) bool {
+	switch {
+	case p.worker == nil:
+		return false
+	case other.worker == nil || p.cost < other.cost:
+		return true
+	}
+	return p.cost == other.cost && p.worker.ID < other.worker.ID
+}
+
 // allowed reports whether the step's hard constraints permit the task on the worker.
 func (pl *planner) allowed(step *stepState, t *task, w *workerState) bool {
 	spec := step.spec
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -39,6 +39,7 @@
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && len(w.runs) > 0 {
 			order.Wait = renewWait
+			order.EndsSuffice = now-w.listedAt < listingInterval
 		}
 	}
 	target := w.target()
@@ -124,6 +125,16 @@
 			s.applyEnd(w, end)
 		}
 	}
+	if !status.Partial {
+		s.removeUnlisted(w, sent, listed)
+	}
+	s.acknowledgeEnds(w)
+	s.schedulePlan()
+}
+
+// removeUnlisted removes the runs that were confirmed before sent and that the worker doesn't list.
+func (s *Scheduler) removeUnlisted(w *workerState, sent time.Duration, listed map[work.TaskID]int64) {
+	w.listedAt = s.Now()
 	for _, r := range sortedRuns(w.runs) {
 		if r.confirmedAt < sent && r.confirmedAt != 0 && listed[r.task.id()] != r.number {
 			s.Log.Write(event.TaskLost, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": w.ID, "reason": "the worker lists neither the run nor its end"})
@@ -135,8 +146,6 @@
 			delete(w.orphans, id)
 		}
 	}
-	s.acknowledgeEnds(w)
-	s.schedulePlan()
 }
 
 // acknowledgeAll allows the workers to discard the ends whose changes are stored.
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -24,6 +24,9 @@
 	minRenewInterval = 12 * time.Millisecond
 	// renewRetry is the interval between renewals of a worker that is unresponsive, or whose ends can't be stored yet.
 	renewRetry = 250 * time.Millisecond
+	// listingInterval is the minimum interval between complete lists of a worker's runs. A list shows progress and lost
+	// runs, and costs more than the end of a run.
+	listingInterval = 300 * time.Millisecond
 	// idleRenewInterval is the interval between renewals of an idle worker.
 	idleRenewInterval = 20 * time.Second
 )
@@ -72,6 +75,8 @@
 	renewing       bool
 	renewalPlanned bool
 	renewedAt      time.Duration
+	// listedAt is when the worker last listed all of its runs.
+	listedAt time.Duration
 	// acked is the number of the last end that the worker may discard; ends holds the later ones in order.
 	acked   int64
 	ends    []pendingEnd
@@ -89,7 +94,9 @@
 	change uint64
 }
 
-func (w *workerState) target() worker.Target { return worker.Target{ID: w.ID, Address: w.Address} }
+func (w *workerState) target() worker.Target {
+	return worker.Target{ID: w.ID, Address: w.Address, DataCentre: w.DataCentre}
+}
 
 // free returns the worker's unreserved capacity.
 func (w *workerState) free() work.Size { return w.Capacity.Minus(w.used) }
--- a/keel/worker/order.go
+++ b/keel/worker/order.go
@@ -9,8 +9,9 @@
 
 // Target identifies the worker that an order is sent to.
 type Target struct {
-	ID      string
-	Address string
+	ID         string
+	Address    string
+	DataCentre string
 }
 
 // StartOrder orders a worker to start a run of a task.
@@ -87,6 +88,8 @@
 	Acknowledged int64
 	// Wait is the maximum time that the worker waits for a run to end before it responds.
 	Wait time.Duration
+	// EndsSuffice permits a response that reports ends to leave out the active runs.
+	EndsSuffice bool
 }
 
 // Run is an active run.
@@ -132,6 +135,8 @@
 type Status struct {
 	Reply
 	Running []Run
+	// Partial reports that Running is left out, as RenewOrder.EndsSuffice permits.
+	Partial bool
 	Ended   []End
 }
 
