--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -173,6 +173,17 @@
 	j.task(r.task).disrupted = true
 }
 
+// recordServing records that a run of a long-running task is ready. What ends it later is no longer the order that ended
+// an earlier run.
+func (c *Checker) recordServing(id work.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id.Job]
+	if j != nil {
+		j.task(id).disrupted = false
+	}
+}
+
 // isUnavailable reports whether a long-running task counts against the disruption budget: it has no ready run, and
 // either an order ended its last one or its last run ended more than Checker.DisruptionTime ago. It clears disrupted if
 // a run is ready.
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -71,6 +71,8 @@
 	number  int64
 	step    *work.Step
 	started time.Time
+	// serving is set once a long-running task is ready.
+	serving bool
 	// done is the completed work, total all of it, and checkpointed the work in the newest checkpoint, at full speed.
 	done, total, checkpointed time.Duration
 	// restoredAt is the time at which a resumed run has restored its checkpoint.
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -260,3 +260,36 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against an order that stops a healthy task after its step's disruption budget was used up. The first orders
+// get no response for 6 s, and another task of the step is lost meanwhile.
+func TestStopNotRepeatedOverBudget(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 2, time.Minute)
+		job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 1
+		job.Steps[0].HasDisruptionBudget, job.Steps[0].DisruptionBudget = true, 1
+		b.submit(job, time.Minute)
+		time.Sleep(1100 * time.Millisecond)
+		inner := b.fleet.WorkerClient("leader").Stop
+		cut := time.Now().Add(6 * time.Second)
+		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+			if time.Now().After(cut) {
+				return inner(ctx, to, o)
+			}
+			<-ctx.Done()
+			return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
+		}
+		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 30, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.Crash("m2", 12*time.Second)
+		time.Sleep(30 * time.Second)
+		done, wanted := b.checker.WaveProgress(1)
+		assert.Equal(t, done, wanted)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -257,6 +257,9 @@
 			r.confirmedAt = s.Now()
 		}
 		s.scheduleRenewal(w, minRenewInterval)
+	case r.voluntary && r.task.job().open() && !w.Draining:
+		// The step's disruption budget may be used up by now, so the next look at the wave decides anew.
+		r.stopping, r.stopSent, r.voluntary = false, false, false
 	default:
 		s.after(stopRetry, func() {
 			r.stopSent = false
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -33,9 +33,10 @@
 	fleet   *emulator.Fleet
 	began   time.Time
 	s       *Scheduler
-	// commit and start replace the store's and the workers' calls if they are set.
+	// commit, start and stop replace the store's and the workers' calls if they are set.
 	commit func(ctx context.Context, txn table.Txn) (table.Result, error)
 	start  func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error)
+	stop   func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error)
 	mu     sync.Mutex
 	// maintained and moved record the orders to instances.
 	maintained, moved []string
@@ -115,6 +116,13 @@
 		}
 		return innerStart(ctx, to, o)
 	}
+	innerStop := workers.Stop
+	workers.Stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		if b.stop != nil {
+			return b.stop(ctx, to, o)
+		}
+		return innerStop(ctx, to, o)
+	}
 	b.s = &Scheduler{
 		Loop: b.loop, Log: event.New(io.Discard, true), Store: store, Workers: workers, Provider: b.recordingProvider(),
 		Bounds: deployment.Bounds{
