--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -39,7 +39,7 @@
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && len(w.runs) > 0 {
 			order.Wait = renewWait
-			order.EndsSuffice = now-w.listedAt < listingInterval
+			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
 	}
 	target := w.target()
@@ -80,6 +80,19 @@
 	s.scheduleNextRenewal(w)
 }
 
+// hasDoubtfulRun reports whether only a list of the worker's runs can show whether some run is there.
+func (w *workerState) hasDoubtfulRun() bool {
+	if len(w.orphans) > 0 {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.inDoubt || r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) scheduleNextRenewal(w *workerState) {
 	switch {
 	case len(w.ends) > 0:
