--- a/entry/site/relays.go
+++ b/entry/site/relays.go
@@ -56,9 +56,9 @@
 	}, func(struct{}, error) {})
 }
 
-// handleOffer uses the relay if this entry leads and has many workers.
+// handleOffer uses the relay if this entry leads and may have many workers.
 func (s *Entry) handleOffer(ctx context.Context, offer relay.Offer) struct{} {
-	needed := onLoop(ctx, s, func() bool { return s.scheduler != nil && s.scheduler.WorkerCount() >= s.RelayMinWorkers })
+	needed := onLoop(ctx, s, func() bool { return s.scheduler != nil && s.scheduler.MaxWorkers() >= s.RelayMinWorkers })
 	if needed {
 		s.relayClient.Accept(offer)
 	}
--- a/keel/schedule/api.go
+++ b/keel/schedule/api.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// WorkerCount returns the number of workers.
-func (s *Scheduler) WorkerCount() int { return len(s.workers) }
+// MaxWorkers returns the number of workers that there are if no instance is in a spare pool.
+func (s *Scheduler) MaxWorkers() int { return max(len(s.workers), len(s.fleet.instances)) }
 
 // PendingJobs returns the number of the queue's open jobs of which no task has started.
 func (s *Scheduler) PendingJobs(name string) int {
