--- a/entry/site/relays.go
+++ b/entry/site/relays.go
@@ -15,7 +15,7 @@
 // relayMethods returns the methods by which entries carry the leader's orders.
 func (s *Entry) relayMethods() map[string]peer.Method {
 	return map[string]peer.Method{
-		relay.MethodOffer:   peer.NewMethod(func(ctx context.Context, in relay.Offer) struct{} { return s.handleOffer(ctx, in) }),
+		relay.MethodOffer:   peer.NewMethod(func(_ context.Context, in relay.Offer) struct{} { return s.handleOffer(in) }),
 		relay.MethodOrders:  peer.NewMethod(func(_ context.Context, in relay.Batch) struct{} { s.relayServer.Accept(in); return struct{}{} }),
 		relay.MethodResults: peer.NewMethod(func(_ context.Context, in relay.Results) struct{} { s.relayClient.Deliver(in); return struct{}{} }),
 	}
@@ -40,6 +40,12 @@
 	return nil
 }
 
+// updateRelays determines whether this entry needs relays, and offers it to the leader as one. It is called on the loop.
+func (s *Entry) updateRelays() {
+	s.relaysNeeded.Store(s.scheduler != nil && s.scheduler.MaxWorkers() >= s.RelayMinWorkers)
+	s.offerRelay()
+}
+
 // offerRelay offers this entry to the leader as a relay, unless it leads itself or has too little CPU.
 func (s *Entry) offerRelay() {
 	record := s.lease.Leader()
@@ -56,10 +62,10 @@
 	}, func(struct{}, error) {})
 }
 
-// handleOffer uses the relay if this entry leads and may have many workers.
-func (s *Entry) handleOffer(ctx context.Context, offer relay.Offer) struct{} {
-	needed := onLoop(ctx, s, func() bool { return s.scheduler != nil && s.scheduler.MaxWorkers() >= s.RelayMinWorkers })
-	if needed {
+// handleOffer uses the relay if this entry leads and may have many workers. It doesn't wait for the control loop, since a
+// busy leader must not lose its relays.
+func (s *Entry) handleOffer(offer relay.Offer) struct{} {
+	if s.relaysNeeded.Load() {
 		s.relayClient.Accept(offer)
 	}
 	return struct{}{}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -106,7 +106,9 @@
 	scheduler   *schedule.Scheduler
 	relayClient *relay.Client
 	relayServer *relay.Server
-	waves       map[int64]provider.Wave
+	// relaysNeeded is set while this entry leads and may have at least RelayMinWorkers workers.
+	relaysNeeded atomic.Bool
+	waves        map[int64]provider.Wave
 	// operatorRows holds the newest known version of each row of the operator, by name.
 	operatorRows map[string]table.Row
 
@@ -243,7 +245,7 @@
 func (s *Entry) start() {
 	s.lease.Start()
 	s.followOperatorTable()
-	s.loop.Every(relay.OfferInterval, s.offerRelay)
+	s.loop.Every(relay.OfferInterval, s.updateRelays)
 }
 
 // startLeading starts the scheduler for a new epoch; it is called on the loop when the lease is acquired.
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -293,3 +293,46 @@
 		assert.Equal(t, done, wanted)
 	})
 }
+
+// Guards against taking a task for available after an order to stop it got no response. The order was carried out, and
+// the step's other task must not be stopped as well.
+func TestStopWithoutResponseUsesBudget(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for _, id := range []string{"m1", "m2", "m3", "m4"} {
+			b.addInstance(id)
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 2, time.Minute)
+		job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 1
+		job.Steps[0].HasDisruptionBudget, job.Steps[0].DisruptionBudget = true, 1
+		b.submit(job, time.Minute)
+		time.Sleep(1100 * time.Millisecond)
+		var hosts []string
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				if len(w.runs) > 0 {
+					hosts = append(hosts, w.Instance)
+				}
+			}
+		})
+		assert.Equal(t, len(hosts), 2)
+		inner := b.fleet.WorkerClient("leader").Stop
+		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+			time.Sleep(200 * time.Millisecond)
+			_, err := inner(ctx, to, o)
+			<-ctx.Done()
+			return worker.Reply{}, fault.Wrap(fault.EndpointFailed, err, "response lost").WithOutcome(fault.Unknown)
+		}
+		first := provider.Wave{Number: 1, Instances: hosts[:1], DeadlineSeconds: 20, MaxConcurrent: 1}
+		second := provider.Wave{Number: 2, Instances: hosts[1:], DeadlineSeconds: 3, MaxConcurrent: 1}
+		b.checker.AddWave(first)
+		b.checker.AddWave(second)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{first}) })
+		time.Sleep(240 * time.Millisecond)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{second}) })
+		time.Sleep(20 * time.Second)
+		done, wanted := b.checker.WaveProgress(2)
+		assert.Equal(t, done, wanted)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -257,17 +257,28 @@
 			r.confirmedAt = s.Now()
 		}
 		s.scheduleRenewal(w, minRenewInterval)
-	case r.voluntary && r.task.job().open() && !w.Draining:
-		// The step's disruption budget may be used up by now, so the next look at the wave decides anew.
-		r.stopping, r.stopSent, r.voluntary = false, false, false
 	default:
-		s.after(stopRetry, func() {
-			r.stopSent = false
-			s.sendStop(r)
-		})
+		s.retryStop(r)
 	}
 }
 
+// retryStop sends the order to stop the run again after stopRetry. A voluntary stop also waits until the step's
+// disruption budget allows it, since other tasks of the step may have been lost meanwhile; the run counts as unavailable
+// until then, because the earlier order may have been carried out.
+func (s *Scheduler) retryStop(r *run) {
+	s.after(stopRetry, func() {
+		if r.worker.runs[r.task.id()] != r {
+			return
+		}
+		if r.voluntary && r.task.job().open() && !r.worker.Draining && !r.mayDisrupt() {
+			s.retryStop(r)
+			return
+		}
+		r.stopSent = false
+		s.sendStop(r)
+	})
+}
+
 // applyRunning applies a run that the worker lists.
 func (s *Scheduler) applyRunning(w *workerState, live worker.Run) {
 	now := s.Now()
