--- a/keel/relay/client.go
+++ b/keel/relay/client.go
@@ -18,6 +18,8 @@
 	OfferInterval = 400 * time.Millisecond
 	// offerLifetime is how long an offer holds; two offers may be lost.
 	offerLifetime = 1300 * time.Millisecond
+	// maxOfferDelay is how long an offer may take from the relay's reading of its clock.
+	maxOfferDelay = time.Second
 	// clockWindow is how long the estimate of a relay's clock is kept before a lower one may replace it.
 	clockWindow = 10 * time.Second
 	// avoidWorkerTime is how long a worker gets no orders through a relay whose call to it failed.
--- a/keel/relay/link.go
+++ b/keel/relay/link.go
@@ -30,7 +30,7 @@
 	client    *Client
 	offer     Offer
 	offeredAt time.Duration
-	// clockAhead is the lowest known difference between the relay's clock and this entry's, seen at clockSeenAt; offers
+	// clockAhead is the highest known difference between the relay's clock and this entry's, seen at clockSeenAt; offers
 	// that took long to arrive show a lower one.
 	clockAhead  time.Duration
 	clockSeenAt time.Duration
@@ -67,10 +67,11 @@
 	return xxhash.Sum64String(relay + "/" + workerID)
 }
 
-// recordClock records the relay's clock as read when it made an offer.
+// recordClock records the relay's clock as read when it made an offer. A clock that is behind by more than an offer can
+// take is that of a restarted instance.
 func (l *link) recordClock(now, clock time.Duration) {
 	ahead := clock - now
-	if l.clockSeenAt == 0 || ahead > l.clockAhead || now-l.clockSeenAt > clockWindow {
+	if l.clockSeenAt == 0 || ahead > l.clockAhead || ahead < l.clockAhead-maxOfferDelay || now-l.clockSeenAt > clockWindow {
 		l.clockAhead, l.clockSeenAt = ahead, now
 	}
 }
--- a/keel/relay/relay_test.go
+++ b/keel/relay/relay_test.go
@@ -29,6 +29,8 @@
 type step struct {
 	// Offer names relays of data centre a that offer themselves.
 	Offer []string `json:"offer"`
+	// Restart sets the clock of relays to zero, as the restart of their instance does.
+	Restart []string `json:"restart"`
 	// Wait passes time.
 	Wait string `json:"wait"`
 	// Set changes how a link behaves, by relay: "up", "refused" (no connection), "orders_lost", "results_lost" or
@@ -51,10 +53,19 @@
 	servers map[string]*Server
 	links   map[string]string
 	sent    []string
+	// restarted holds when the relay's clock was set to zero.
+	restarted map[string]time.Duration
 }
 
 func (b *bed) now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
+// clock returns the clock of the relay.
+func (b *bed) clock(relay string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now() - b.restarted[relay]
+}
+
 func (b *bed) link(relay string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,7 +90,7 @@
 }
 
 func newBed(t *testing.T) *bed {
-	b := &bed{t: t, client: NewClient(), servers: make(map[string]*Server), links: make(map[string]string)}
+	b := &bed{t: t, client: NewClient(), servers: make(map[string]*Server), links: make(map[string]string), restarted: make(map[string]time.Duration)}
 	b.client.Log, b.client.Direct, b.client.Address, b.client.Now = &event.Log{}, b.workers("leader"), "leader", b.now
 	b.client.Send = func(ctx context.Context, relay string, batch Batch) error {
 		switch b.link(relay) {
@@ -104,7 +115,7 @@
 	if b.servers[relay] == nil {
 		server, err := NewServer()
 		assert.NilError(b.t, err)
-		server.Workers, server.Now = b.workers(relay), b.now
+		server.Workers, server.Now = b.workers(relay), func() time.Duration { return b.clock(relay) }
 		server.Reply = func(ctx context.Context, _ string, results Results) error {
 			if b.link(relay) == "results_lost" {
 				<-ctx.Done()
@@ -115,7 +126,7 @@
 		}
 		b.servers[relay] = server
 	}
-	b.client.Accept(Offer{Name: relay, Address: relay, DataCentre: "a", ClockMillis: b.now().Milliseconds()})
+	b.client.Accept(Offer{Name: relay, Address: relay, DataCentre: "a", ClockMillis: b.clock(relay).Milliseconds()})
 }
 
 func (b *bed) order(kind string) error {
@@ -142,6 +153,11 @@
 		b.links[relay] = state
 		b.mu.Unlock()
 	}
+	for _, relay := range s.Restart {
+		b.mu.Lock()
+		b.restarted[relay] = b.now()
+		b.mu.Unlock()
+	}
 	for _, relay := range s.Offer {
 		b.offer(relay)
 	}
