--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -261,19 +261,24 @@
 	})
 }
 
+// startPair starts an epoch and a job of two long-running tasks on different workers, of which one may be unavailable.
+func (b *testbed) startPair() {
+	b.startEpoch(1, "p")
+	time.Sleep(500 * time.Millisecond)
+	job := singleStepJob(firstJob, "p", 2, time.Minute)
+	job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 1
+	job.Steps[0].HasDisruptionBudget, job.Steps[0].DisruptionBudget = true, 1
+	b.submit(job, time.Minute)
+	time.Sleep(1100 * time.Millisecond)
+}
+
 // Guards against an order that stops a healthy task after its step's disruption budget was used up. The first orders
 // get no response for 6 s, and another task of the step is lost meanwhile.
 func TestStopNotRepeatedOverBudget(t *testing.T) {
 	withTestbed(t, func(b *testbed) {
 		b.addInstance("m1")
 		b.addInstance("m2")
-		b.startEpoch(1, "p")
-		time.Sleep(500 * time.Millisecond)
-		job := singleStepJob(firstJob, "p", 2, time.Minute)
-		job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 1
-		job.Steps[0].HasDisruptionBudget, job.Steps[0].DisruptionBudget = true, 1
-		b.submit(job, time.Minute)
-		time.Sleep(1100 * time.Millisecond)
+		b.startPair()
 		inner := b.fleet.WorkerClient("leader").Stop
 		cut := time.Now().Add(6 * time.Second)
 		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
@@ -301,13 +306,7 @@
 		for _, id := range []string{"m1", "m2", "m3", "m4"} {
 			b.addInstance(id)
 		}
-		b.startEpoch(1, "p")
-		time.Sleep(500 * time.Millisecond)
-		job := singleStepJob(firstJob, "p", 2, time.Minute)
-		job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 1
-		job.Steps[0].HasDisruptionBudget, job.Steps[0].DisruptionBudget = true, 1
-		b.submit(job, time.Minute)
-		time.Sleep(1100 * time.Millisecond)
+		b.startPair()
 		var hosts []string
 		b.onLoop(func() {
 			for _, w := range b.s.workers {
