--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -260,6 +260,9 @@
 	switch {
 	case spec.Label != "" && !w.HasLabel(spec.Label):
 		return false
+	case t.runsOn(w):
+		// A speculative run on the same worker would be rejected.
+		return false
 	case spec.MaxPerWorker > 0 && w.perStep[step] >= spec.MaxPerWorker:
 		return false
 	case !step.tickets.allows(w, pl.now):
@@ -267,9 +270,22 @@
 	case !step.occurrence.job.mayRunIn(w.DataCentre):
 		return false
 	}
-	// A task is not retried on an instance where it failed while there are alternatives. Long-running tasks are exempt,
-	// because they fail on any instance.
-	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn)
+	// A task is not retried on an instance where it failed while there are alternatives, for a while: these may have no
+	// room. Long-running tasks are exempt, because they fail on any instance.
+	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn) || pl.now-t.readySince > maxRetryElsewhere
+}
+
+// maxRetryElsewhere is how long a task that failed waits for a worker on another instance.
+const maxRetryElsewhere = time.Second
+
+// runsOn reports whether a run of the task may be in progress on the worker.
+func (t *task) runsOn(w *workerState) bool {
+	for _, r := range t.runs {
+		if r.worker == w {
+			return true
+		}
+	}
+	return false
 }
 
 const (
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -335,3 +335,50 @@
 		assert.Equal(t, done, wanted)
 	})
 }
+
+// Guards against a speculative run on the worker that runs the task already: the worker rejects it, the scheduler forgot
+// the first run with it, and the next pass ordered another one.
+func TestNoCopyOnTheSameWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 1, 100*time.Millisecond)
+		job.Steps[0].Speculative = true
+		b.submit(job, 3*time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		b.fleet.Crash("m1", 2*time.Second)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Assert(t, b.fleet.Starts <= 3, "%d start orders", b.fleet.Starts)
+	})
+}
+
+// Guards against a task that never runs again after a failure: the only worker with room is on the instance where it
+// failed, another worker of the pool is full, and so the pool isn't short of capacity.
+func TestRetryWhereItFailed(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		lasting := singleStepJob("00000000000000a2", "p", 1, time.Minute)
+		lasting.Steps[0].LongRunning, lasting.Steps[0].Size.MilliCores = true, 16000
+		b.submit(lasting, time.Minute)
+		time.Sleep(100 * time.Millisecond)
+		idle := ""
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				if len(w.runs) == 0 {
+					idle = w.Instance
+				}
+			}
+		})
+		b.fleet.SetBehaviour(idle, emulator.Behaviour{Fails: true})
+		b.submit(singleStepJob(firstJob, "p", 1, 400*time.Millisecond), 400*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		b.fleet.SetBehaviour(idle, emulator.Behaviour{})
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
