--- a/keel/emulator/progress.go
+++ b/keel/emulator/progress.go
@@ -34,6 +34,15 @@
 	return r.cpuShare
 }
 
+// noteServing records once that a long-running task is ready.
+func (w *Worker) noteServing(r *run) {
+	if !r.step.LongRunning || r.serving || r.done < r.total {
+		return
+	}
+	r.serving = true
+	w.fleet.Checker.recordServing(r.task)
+}
+
 // updateLocked advances all runs to the current time and ends those that are due.
 func (w *Worker) updateLocked() {
 	now := time.Now()
@@ -45,6 +54,7 @@
 	lapsed := w.clock() >= w.leaseEnd
 	for _, r := range w.sortedRuns() {
 		w.advance(r, from, now)
+		w.noteServing(r)
 		switch {
 		case w.runs[r.task] != r:
 		case !r.stopsAt.IsZero() && !now.Before(r.stopsAt):
