--- a/keel/schedule/candidates.go
+++ b/keel/schedule/candidates.go
@@ -59,8 +59,8 @@
 		if !eligible(g.dataCentre) || g.isUnplaceable(size) {
 			continue
 		}
-		free := g.freeFor(size)
-		if free > 0 {
+		free, found := g.freeFor(size)
+		if found {
 			options = append(options, option{g.dataCentre, free})
 			continue
 		}
@@ -86,14 +86,15 @@
 	return false
 }
 
-// freeFor returns the free milli-cores of the workers that have room for the size.
-func (g *candidateGroup) freeFor(size work.Size) int64 {
-	sum := int64(0)
+// freeFor returns the free milli-cores of the workers that have room for the size, and whether there is such a worker: a
+// best-effort task fits on one without free milli-cores.
+func (g *candidateGroup) freeFor(size work.Size) (milliCores int64, found bool) {
 	for _, w := range g.workers {
 		free := w.free()
 		if free.Holds(size) {
-			sum += free.MilliCores
+			milliCores += free.MilliCores
+			found = true
 		}
 	}
-	return sum
+	return milliCores, found
 }
