The log and metrics say what holds a task that should run

Change: tasks_waiting, once a second for each pool and cause, with the task that has waited longest, the worker that holds it and the time until the wait ends without further evidence; two gauges by cause. The planner keeps the unfenced workers by data centre, so that the same rule serves placement and report.

--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -45,6 +45,7 @@
 	CallUnanswered
 	ReadinessChanged
 	LeaseValidityChanged
+	TasksWaiting
 )
 
 var scheduleEvents = []Definition{
@@ -88,5 +89,6 @@
 	{JobUnknown, "job_unknown", logrus.InfoLevel, "a caller asks for a job that does not exist", []string{"job", "call", "via"}},
 	{CallUnanswered, "call_unanswered", logrus.WarnLevel, "a query for a job or a queue fails or exceeds the caller's timeout", []string{"job", "call", "kind", "reason", "leader"}},
 	{LeaseValidityChanged, "lease_validity_changed", logrus.WarnLevel, "the leader's lease has expired, so that it sends no orders, or is valid again", []string{"epoch", "valid"}},
+	{TasksWaiting, "tasks_waiting", logrus.InfoLevel, "tasks of a pool should run and have had no run for 2 s, by cause, with the task that has waited longest, the worker that holds it and the time until the wait ends by itself (0 if it doesn't); the cause none means that a worker has room for the task", []string{"pool", "cause", "tasks", "long_running", "task", "waited_ms", "worker", "ends_in_ms"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -29,6 +29,8 @@
 	outcomes *prometheus.CounterVec
 	ages     *prometheus.HistogramVec
 	moves    prometheus.Counter
+	waiting  *prometheus.GaugeVec
+	waits    *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -54,7 +56,13 @@
 			Name: "samphirekeel_instance_moves_total", Help: "Instances told to join another pool.",
 		}),
 	}
-	registry.MustRegister(m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves)
+	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "samphirekeel_waiting_tasks", Help: "Tasks that should run and have had no run for 2 seconds, by what holds them.",
+	}, []string{"cause"})
+	m.waits = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "samphirekeel_longest_task_wait_seconds", Help: "The longest wait of a task that should run, by what holds it.",
+	}, []string{"cause"})
+	registry.MustRegister(m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits)
 	return m
 }
 
@@ -98,3 +106,20 @@
 		m.moves.Inc()
 	}
 }
+
+// setWaits replaces the gauges of waiting tasks; without groups there are none.
+func (m *Metrics) setWaits(groups []*waitGroup, now time.Duration) {
+	if m == nil {
+		return
+	}
+	m.waiting.Reset()
+	m.waits.Reset()
+	longest := make(map[waitCause]time.Duration)
+	for _, g := range groups {
+		m.waiting.WithLabelValues(string(g.cause)).Add(float64(g.tasks))
+		longest[g.cause] = max(longest[g.cause], now-g.held.since)
+	}
+	for cause, waited := range longest {
+		m.waits.WithLabelValues(string(cause)).Set(waited.Seconds())
+	}
+}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -25,6 +25,8 @@
 	s          *Scheduler
 	now        time.Duration
 	candidates candidates
+	// unfenced holds, by data centre, the unfenced worker whose lease expires last.
+	unfenced map[string]*workerState
 	// missingWorkers is the number of additional workers that unplaced tasks need because of placement constraints.
 	missingWorkers int
 }
@@ -35,20 +37,32 @@
 	if len(jobs) == 0 {
 		return
 	}
-	pl := &planner{s: s, now: now}
+	pl := s.newPlanner(p, now)
+	for _, j := range jobs {
+		pl.placeJob(j)
+	}
+	p.missingWorkers = pl.missingWorkers
+}
+
+// newPlanner returns a planner with the pool's usable workers as candidates.
+func (s *Scheduler) newPlanner(p *pool, now time.Duration) *planner {
+	pl := &planner{s: s, now: now, unfenced: make(map[string]*workerState)}
 	for w := range p.workers {
 		if s.usable(w, now) {
 			pl.candidates.add(w)
 		}
 	}
-	for _, j := range jobs {
-		pl.placeJob(j)
+	for _, w := range s.unfenced {
+		last := pl.unfenced[w.DataCentre]
+		if last == nil || w.leaseExpiry > last.leaseExpiry {
+			pl.unfenced[w.DataCentre] = w
+		}
 	}
-	p.missingWorkers = pl.missingWorkers
+	return pl
 }
 
 func (pl *planner) placeJob(j *job) {
-	fenced := pl.mayStart(j)
+	fenced := pl.unfencedWorkerFor(j) == nil
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
@@ -62,17 +76,19 @@
 	}
 }
 
-// mayStart reports whether no unfenced worker can be running tasks of the job.
-func (pl *planner) mayStart(j *job) bool {
-	if !j.inherited || len(pl.s.unfenced) == 0 {
-		return true
-	}
-	for _, w := range pl.s.unfenced {
-		if j.mayHaveRunIn(w.DataCentre) {
-			return false
+// unfencedWorkerFor returns an unfenced worker that may be running tasks of the job, the one whose lease expires last, or
+// nil if there is none.
+func (pl *planner) unfencedWorkerFor(j *job) *workerState {
+	if !j.inherited {
+		return nil
+	}
+	var last *workerState
+	for dataCentre, w := range pl.unfenced {
+		if j.mayHaveRunIn(dataCentre) && (last == nil || w.leaseExpiry > last.leaseExpiry) {
+			last = w
 		}
 	}
-	return true
+	return last
 }
 
 // allowDataCentres records in the ledger that the job's tasks may run in up to n more data centres: those with the most
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -37,6 +37,8 @@
 	stopping   bool
 	stopSent   bool
 	stopReason string
+	// stoppingSince is when the run was first to be stopped.
+	stoppingSince time.Duration
 	// percent is the highest progress that the worker listed, progressedAt when it last grew; listedAt is
 	// when the worker last listed the run.
 	percent      float64
@@ -218,7 +220,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping, r.stopReason = true, reason
+	r.stopping, r.stopReason, r.stoppingSince = true, reason, s.Now()
 	s.Log.Write(event.TaskStopped, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason})
 	if r.confirmedAt != 0 || r.inDoubt {
 		s.sendStop(r)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -70,6 +70,8 @@
 
 	planPending bool
 	lastPlan    time.Duration
+	// waitsReportedAt is when waiting tasks were last reported.
+	waitsReportedAt time.Duration
 	// runBase is the number below the first run number of this epoch.
 	runBase int64
 }
@@ -111,7 +113,10 @@
 }
 
 // End stops the scheduler; responses that arrive later are discarded.
-func (s *Scheduler) End() { s.cancel() }
+func (s *Scheduler) End() {
+	s.cancel()
+	s.Metrics.setWaits(nil, s.Now())
+}
 
 // Ready reports whether the ledger has been loaded.
 func (s *Scheduler) Ready() bool { return s.ready }
@@ -157,6 +162,7 @@
 		s.advanceWaves(now)
 	}
 	s.cleanUp(now)
+	s.reportWaits(now)
 	s.schedulePlan()
 }
 
--- /dev/null
+++ b/keel/schedule/wait.go
@@ -0,0 +1,244 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"samphirekeel.example/keel/event"
+)
+
+const (
+	// waitReportInterval is the interval between two reports of waiting tasks.
+	waitReportInterval = time.Second
+	// minReportedWait is how long a task must have waited to be reported; shorter waits are part of each start.
+	minReportedWait = 2 * time.Second
+)
+
+// waitCause is the reason why a task whose turn has come has no run that is known to be in progress.
+type waitCause string
+
+const (
+	waitLeaderLease  waitCause = "leader_lease"
+	waitQueue        waitCause = "queue_unknown"
+	waitUnfenced     waitCause = "unfenced_worker"
+	waitUnresponsive waitCause = "unresponsive_worker"
+	waitInDoubt      waitCause = "start_in_doubt"
+	waitStopping     waitCause = "stop_pending"
+	waitBackoff      waitCause = "backoff"
+	waitWorker       waitCause = "no_usable_worker"
+	waitCapacity     waitCause = "no_capacity"
+	waitDataCentre   waitCause = "data_centre_not_allowed"
+	waitConstraint   waitCause = "constraint"
+	waitGang         waitCause = "gang"
+	// waitNone means that a worker has room for the task and may run it.
+	waitNone waitCause = "none"
+)
+
+// wait is what holds a task.
+type wait struct {
+	cause waitCause
+	since time.Duration
+	// worker is the worker that holds the task, empty if none does. until is when the wait ends without further
+	// evidence, 0 if it doesn't.
+	worker string
+	until  time.Duration
+}
+
+// waitKey groups waits by pool and cause, so that a report has few lines however many tasks wait.
+type waitKey struct {
+	pool  string
+	cause waitCause
+}
+
+// waitGroup is the waits of one pool for one cause.
+type waitGroup struct {
+	waitKey
+	tasks, longRunning int
+	// longest is the task that has waited longest, and held what holds it.
+	longest *task
+	held    wait
+}
+
+// reportWaits logs and counts the tasks that have waited for minReportedWait, by pool and cause.
+func (s *Scheduler) reportWaits(now time.Duration) {
+	if now-s.waitsReportedAt < waitReportInterval {
+		return
+	}
+	s.waitsReportedAt = now
+	groups := s.collectWaits(now)
+	for _, g := range groups {
+		endsIn := time.Duration(0)
+		if g.held.until > 0 {
+			endsIn = g.held.until - now
+		}
+		s.Log.Write(event.TasksWaiting, event.Fields{
+			"pool": g.pool, "cause": string(g.cause), "tasks": g.tasks, "long_running": g.longRunning, "task": g.longest.id().String(),
+			"waited_ms": (now - g.held.since).Milliseconds(), "worker": g.held.worker, "ends_in_ms": endsIn.Milliseconds(),
+		})
+	}
+	s.Metrics.setWaits(groups, now)
+}
+
+// collectWaits returns the waits by pool and cause, ordered by both.
+func (s *Scheduler) collectWaits(now time.Duration) []*waitGroup {
+	c := &waitCollector{s: s, now: now, planners: make(map[*pool]*planner), groups: make(map[waitKey]*waitGroup)}
+	for _, j := range s.jobs {
+		if j.open() {
+			c.addJob(j)
+		}
+	}
+	groups := make([]*waitGroup, 0, len(c.groups))
+	for _, g := range c.groups {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b *waitGroup) int {
+		return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.cause, b.cause))
+	})
+	return groups
+}
+
+// waitCollector collects the waits of one report.
+type waitCollector struct {
+	s        *Scheduler
+	now      time.Duration
+	planners map[*pool]*planner
+	groups   map[waitKey]*waitGroup
+}
+
+func (c *waitCollector) addJob(j *job) {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			if step.ready && step.done < len(step.tasks) {
+				c.addStep(j, step)
+			}
+		}
+	}
+}
+
+func (c *waitCollector) addStep(j *job, step *stepState) {
+	for _, t := range step.tasks {
+		if t.done {
+			continue
+		}
+		held, waits := t.heldByRun()
+		if !waits {
+			continue
+		}
+		if len(t.runs) == 0 {
+			held = wait{since: t.readySince}
+		}
+		if c.now-held.since < minReportedWait {
+			continue
+		}
+		if held.cause == "" {
+			c.explain(j, t, &held)
+		}
+		c.add(j, t, held)
+	}
+}
+
+// heldByRun reports whether no run of the task is known to be in progress, and what holds the run that started last, if
+// there is one.
+func (t *task) heldByRun() (held wait, waits bool) {
+	for _, r := range t.runs {
+		w := r.worker
+		switch {
+		case w.unresponsiveSince != 0:
+			held = wait{cause: waitUnresponsive, since: w.unresponsiveSince, worker: w.ID, until: w.leaseExpiry}
+		case r.inDoubt:
+			held = wait{cause: waitInDoubt, since: r.ordered, worker: w.ID}
+		case r.stopping:
+			held = wait{cause: waitStopping, since: r.stoppingSince, worker: w.ID}
+		default:
+			return wait{}, false
+		}
+	}
+	return held, true
+}
+
+// explain determines what holds a task without runs.
+func (c *waitCollector) explain(j *job, t *task, held *wait) {
+	switch {
+	case !c.s.LeaseValid():
+		held.cause = waitLeaderLease
+		return
+	case j.queue == nil || j.pool == nil:
+		held.cause = waitQueue
+		return
+	case c.now < t.notBefore:
+		held.cause, held.until = waitBackoff, t.notBefore
+		return
+	}
+	pl := c.planners[j.pool]
+	if pl == nil {
+		pl = c.s.newPlanner(j.pool, c.now)
+		c.planners[j.pool] = pl
+	}
+	blocker := pl.unfencedWorkerFor(j)
+	if blocker != nil && !t.step.spec.Speculative {
+		held.cause, held.worker, held.until = waitUnfenced, blocker.ID, blocker.leaseExpiry
+		return
+	}
+	held.cause = pl.placementWait(t)
+}
+
+// placementWait returns the reason why no usable worker of the pool can run the task now, or waitNone if one can.
+func (pl *planner) placementWait(t *task) waitCause {
+	if len(pl.candidates.workers) == 0 {
+		return waitWorker
+	}
+	j, size := t.job(), t.step.size()
+	cause := waitCapacity
+	for _, g := range pl.candidates.groups {
+		if g.isUnplaceable(size) {
+			continue
+		}
+		room := false
+		for _, w := range g.workers {
+			if !w.free().Holds(size) {
+				continue
+			}
+			room = true
+			if !j.mayRunIn(g.dataCentre) {
+				break
+			}
+			if pl.allowed(t.step, t, w) {
+				if t.step.spec.Gang {
+					return waitGang
+				}
+				return waitNone
+			}
+			cause = waitConstraint
+		}
+		switch {
+		case !room:
+			g.unplaceable = append(g.unplaceable, size)
+		case cause == waitCapacity:
+			cause = waitDataCentre
+		}
+	}
+	return cause
+}
+
+func (c *waitCollector) add(j *job, t *task, held wait) {
+	key := waitKey{pool: j.Queue, cause: held.cause}
+	if j.pool != nil {
+		key.pool = j.pool.name
+	}
+	g := c.groups[key]
+	if g == nil {
+		g = &waitGroup{waitKey: key}
+		c.groups[key] = g
+	}
+	g.tasks++
+	if t.step.spec.LongRunning {
+		g.longRunning++
+	}
+	if g.longest == nil || held.since < g.held.since || held.since == g.held.since && t.id().String() < g.longest.id().String() {
+		g.longest, g.held = t, held
+	}
+}
