Failing test: a partitioned worker holds its tasks beyond its lease

Cause: each renewal of the lease of a worker that doesn't respond extends the lease that the scheduler records for it, so that the runs on a worker that stays partitioned from the leader are held until the partition ends, as long as the instance list shows the worker as up.

Change: a test with a long-running and a short task on a worker that is partitioned from the leader for 40 s, beside an idle worker in another data centre.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -382,3 +382,39 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against holding the runs of an unresponsive worker for as long as it is partitioned from the leader: renewals
+// without a response must not extend its recorded lease. The instance list shows its instance as up throughout.
+func TestPartitionedWorkerHoldsTaskForOneLease(t *testing.T) {
+	tests := []struct {
+		name        string
+		longRunning bool
+	}{{"short", false}, {"long_running", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.addInstanceIn("m2", "b")
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				job := singleStepJob(firstJob, "p", 1, 2*time.Second)
+				job.Steps[0].LongRunning = test.longRunning
+				b.submit(job, 2*time.Second)
+				time.Sleep(time.Second)
+				hosts := b.hosts()
+				assert.Equal(b.t, len(hosts), 1)
+				b.fleet.SetPartitioned("leader", hosts[0].DataCentre, true)
+				time.Sleep(workerLease + 3*time.Second)
+				starts := b.fleet.Starts
+				time.Sleep(31 * time.Second)
+				b.fleet.SetPartitioned("leader", hosts[0].DataCentre, false)
+				assert.Equal(b.t, starts, 2, "start orders within the lease and 3 s of the partition")
+				running, total := b.checker.LongRunningCounts()
+				assert.Equal(b.t, running, total)
+				if !test.longRunning {
+					assert.Equal(b.t, b.state(), work.Completed)
+				}
+			})
+		})
+	}
+}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -175,9 +175,25 @@
 	return append(append([]string{}, b.maintained...), b.moved...)
 }
 
-// addInstance adds an instance of 16 cores to pool p.
-func (b *testbed) addInstance(id string) {
-	b.fleet.Add(id, "p", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+// addInstance adds an instance of 16 cores to pool p in data centre a.
+func (b *testbed) addInstance(id string) { b.addInstanceIn(id, "a") }
+
+// addInstanceIn adds an instance of 16 cores to pool p.
+func (b *testbed) addInstanceIn(id, dataCentre string) {
+	b.fleet.Add(id, "p", dataCentre, "r"+dataCentre+"-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+}
+
+// hosts returns the registrations of the workers with runs.
+func (b *testbed) hosts() []worker.Registration {
+	var hosts []worker.Registration
+	b.onLoop(func() {
+		for _, w := range b.s.workers {
+			if len(w.runs) > 0 {
+				hosts = append(hosts, w.Registration)
+			}
+		}
+	})
+	return hosts
 }
 
 // submit stores a job and announces it to the scheduler.
