A renewal without a response no longer extends the worker's recorded lease

Callers see tasks that don't run although there is room, for as long as their worker is unreachable: LOST for long-running ones.

Cause: a renewal advances the recorded end of the worker's lease when it is sent. An unresponsive worker is renewed four times a second, so its lease never expires in the leader's record, and its runs are held until the worker responds or the instance list shows that it has ended. With the instance service unreachable, or with a worker that is up but cut off, that takes as long as the fault. It is one of a class: a wait that ends only on evidence that may never come.

Nor is the worker asked to hold the request until a run ends, so that its first response isn't delayed.

Ruled out: a run that starts late on that worker. Its start order carries an end of the lease within the recorded one, so that the worker rejects it.

--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -22,7 +22,8 @@
 	})
 }
 
-// renew extends the worker's lease and requests the state of its runs.
+// renew extends the worker's lease and requests the state of its runs. The lease of an unresponsive worker isn't
+// extended, so that its runs are over when it has expired; nor does the worker hold the request open.
 func (s *Scheduler) renew(w *workerState) {
 	if w.renewing || w.removed {
 		return
@@ -35,7 +36,7 @@
 	now := s.Now()
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
-	if w.fenced {
+	if w.fenced && w.unresponsiveSince == 0 {
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && len(w.runs) > 0 {
 			order.Wait = renewWait
