Waiting tasks are reported after a placement pass

Change: the report follows a pass; none now means that the pass left out a task that a worker could run.

--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -162,7 +162,6 @@
 		s.advanceWaves(now)
 	}
 	s.cleanUp(now)
-	s.reportWaits(now)
 	s.schedulePlan()
 }
 
@@ -185,6 +184,7 @@
 	s.after(planDelay, func() {
 		s.planPending = false
 		s.plan()
+		s.reportWaits(s.Now())
 	})
 }
 
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -60,7 +60,8 @@
 	held    wait
 }
 
-// reportWaits logs and counts the tasks that have waited for minReportedWait, by pool and cause.
+// reportWaits logs and counts the tasks that have waited for minReportedWait, by pool and cause. It is called after a
+// placement pass, so that room that the pass would use doesn't count.
 func (s *Scheduler) reportWaits(now time.Duration) {
 	if now-s.waitsReportedAt < waitReportInterval {
 		return
