A worker whose lease expired at a takeover leaves the roster with its registration

Callers would see jobs of a data centre held for the 6 s of a worker lease at each leader change, because of a worker that ended long ago.

Cause: a worker without a registration is removed, with its roster row, only if it has accepted this epoch. One that never responds again stays after its lease has expired, if it was still registered then and the instance list doesn't show its end.

Change: it is removed once it has neither a registration nor a lease.

Test: TestExpiredWorkerLeavesRoster, failed before: 2 rows instead of 1.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -418,3 +418,24 @@
 		})
 	}
 }
+
+// Guards against a roster row that outlives its worker. The worker does not respond to the new leader, its lease expires
+// while it is still registered, and the instance list is unreachable; each later leader would wait for it again.
+func TestExpiredWorkerLeavesRoster(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstanceIn("m2", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		b.onLoop(b.s.End)
+		b.fleet.SetPartitioned("leader", "b", true)
+		b.startEpoch(2, "p")
+		b.onLoop(func() { b.s.Provider = nil })
+		time.Sleep(workerLease + 2*time.Second)
+		b.fleet.Remove("m2")
+		time.Sleep(5 * time.Second)
+		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(contents.Roster), 1)
+	})
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -189,7 +189,7 @@
 		switch {
 		case w.unresponsiveSince != 0 && w.leaseExpiry != 0 && now > w.leaseExpiry:
 			s.expireWorkerLease(w)
-		case !w.registered && len(w.runs)+len(w.orphans) == 0 && w.fenced:
+		case !w.registered && len(w.runs)+len(w.orphans) == 0 && (w.fenced || w.leaseExpiry == 0):
 			s.removeWorker(w, "its registration was removed and nothing runs on it")
 		case !w.renewing && !w.renewalPlanned && (len(w.runs) > 0 || now-w.renewedAt > idleRenewInterval || !w.fenced):
 			s.renew(w)
