Emulated workers that end leave the calls in progress without a response

Cause: a call in progress at an emulated worker got the response of a newer boot when that worker ended, which proves its end at once.

Change: such a call gets no response before its deadline, and an unknown outcome.

--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -269,18 +269,19 @@
 	return worker.Reply{}
 }
 
-// renew renews the lease and returns the worker's status, with a channel that is closed when the status changes.
-func (w *Worker) renew(o worker.RenewOrder) (worker.Status, chan struct{}) {
+// renew renews the lease and returns the worker's status, with a channel that is closed when the status changes; it
+// returns false if the worker has ended.
+func (w *Worker) renew(o worker.RenewOrder) (worker.Status, chan struct{}, bool) {
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.ended {
-		return worker.Status{Reply: worker.Reply{Refusal: worker.OtherBoot}}, w.changed
+		return worker.Status{}, nil, false
 	}
 	f.Renewals++
 	w.updateLocked()
 	if w.fenced(o.Token) {
-		return worker.Status{Reply: worker.Reply{Clock: w.clock(), Refusal: worker.Fenced}}, w.changed
+		return worker.Status{Reply: worker.Reply{Clock: w.clock(), Refusal: worker.Fenced}}, w.changed, true
 	}
 	if o.LeaseEnd > 0 {
 		w.extendLease(o.LeaseEnd)
@@ -295,5 +296,5 @@
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.Run{Task: r.task, Run: r.number, Checkpoint: r.checkpoint(), Percent: r.percent(), Load: -1})
 	}
-	return status, w.changed
+	return status, w.changed, true
 }
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -72,7 +72,11 @@
 		<-ctx.Done()
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "emulated response lost").WithOutcome(fault.Unknown)
 	}
-	reply := f.execute(w, handle)
+	reply, ok := f.execute(w, handle)
+	if !ok {
+		<-ctx.Done()
+		return worker.Reply{}, errWorkerEnded
+	}
 	if !sleep(ctx, orderLatency) {
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
 	}
@@ -91,17 +95,21 @@
 	return f.random.Float64()
 }
 
-func (f *Fleet) execute(w *Worker, handle func(*Worker) worker.Reply) worker.Reply {
+// errWorkerEnded is the error of a call whose worker ends before it responds.
+var errWorkerEnded = fault.New(fault.EndpointFailed, "emulated worker ended before its response").WithOutcome(fault.Unknown)
+
+// execute carries out an order at a worker; it returns false if the worker has ended.
+func (f *Fleet) execute(w *Worker, handle func(*Worker) worker.Reply) (worker.Reply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.ended {
-		return worker.Reply{Refusal: worker.OtherBoot}
+		return worker.Reply{}, false
 	}
 	w.updateLocked()
 	reply := handle(w)
 	w.scheduleLocked()
 	reply.Clock = w.clock()
-	return reply
+	return reply, true
 }
 
 func (f *Fleet) renew(ctx context.Context, caller string, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
@@ -111,7 +119,11 @@
 	}
 	deadline := time.Now().Add(o.Wait)
 	for {
-		status, changed := w.renew(o)
+		status, changed, ok := w.renew(o)
+		if !ok {
+			<-ctx.Done()
+			return worker.Status{}, errWorkerEnded
+		}
 		if status.Refusal != worker.Accepted || len(status.Ended) > 0 || !time.Now().Before(deadline) {
 			if !sleep(ctx, orderLatency) {
 				return worker.Status{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
