--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -261,6 +261,43 @@
 	})
 }
 
+// Guards against a long-running task that never runs again after its instance was taken away for good around a leader
+// change: nothing but the instance list shows that its worker has ended.
+func TestRemovedInstanceReleasesLongRunningTask(t *testing.T) {
+	tests := []struct {
+		name string
+		// removedAfter is the time from the start of the new epoch until the instance is taken away.
+		removedAfter time.Duration
+	}{{"before", -200 * time.Millisecond}, {"during", 0}, {"after", time.Second}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.addInstance("m2")
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				job := singleStepJob(firstJob, "p", 1, time.Minute)
+				job.Home, job.Steps[0].LongRunning = "a", true
+				b.submit(job, time.Minute)
+				time.Sleep(time.Second)
+				hosts := b.hosts()
+				assert.Equal(b.t, len(hosts), 1)
+				if test.removedAfter < 0 {
+					b.fleet.Remove(hosts[0].Instance)
+					time.Sleep(-test.removedAfter)
+				}
+				b.onLoop(b.s.End)
+				b.startEpoch(2, "p")
+				if test.removedAfter >= 0 {
+					time.Sleep(test.removedAfter)
+					b.fleet.Remove(hosts[0].Instance)
+				}
+				assert.Assert(b.t, b.timeUntilLongRunning(time.Minute) <= 3*time.Second)
+			})
+		})
+	}
+}
+
 // startPair starts an epoch and a job of two long-running tasks on different workers, of which one may be unavailable.
 func (b *testbed) startPair() {
 	b.startEpoch(1, "p")
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -196,6 +196,22 @@
 	return hosts
 }
 
+// timeUntilLongRunning waits until all long-running tasks have a run, at most for the timeout, and returns the time that
+// took.
+func (b *testbed) timeUntilLongRunning(timeout time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < timeout {
+		running, total := b.checker.LongRunningCounts()
+		if running == total {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	elapsed := time.Since(began)
+	b.t.Logf("all long-running tasks have a run after %s", elapsed)
+	return elapsed
+}
+
 // submit stores a job and announces it to the scheduler.
 func (b *testbed) submit(job *work.Job, taskDuration time.Duration) {
 	var durations [][]time.Duration
