A rejected order to stop an orphaned run is repeated

A worker that answered the order to stop a run which no open job needs with a refusal (it was unhealthy for a moment) kept the run until the end, and got no tasks for as long: the order counted as sent, and stopOrphan returns early at each later listing. The order was also sent while the leader's lease was not valid. A refusal is now handled like that of any other stop order: it is repeated after stopRetry until the worker accepts the order or another one responds.

TestRejectedOrphanStopIsRepeated failed before: the next job was still queued 3 s after the worker was healthy again.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -476,3 +476,36 @@
 		assert.Equal(t, len(contents.Roster), 1)
 	})
 }
+
+// Guards against a worker that never gets tasks again: it rejects the order to stop a run that no open job needs, because
+// it is unhealthy for a moment, and the order wasn't repeated.
+func TestRejectedOrphanStopIsRepeated(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, time.Minute), time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.SetPartitioned("leader", "a", true)
+		b.onLoop(func() { b.s.cancelStored(firstJob) })
+		b.checker.Cancelled(firstJob)
+		time.Sleep(time.Second)
+		b.onLoop(b.s.End)
+		b.fleet.SetPartitioned("leader", "a", false)
+		inner := b.fleet.WorkerClient("leader").Stop
+		healthy := time.Now().Add(time.Second)
+		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+			if time.Now().Before(healthy) {
+				return worker.Reply{Refusal: worker.Unhealthy}, nil
+			}
+			return inner(ctx, to, o)
+		}
+		b.startEpoch(2, "p")
+		next := singleStepJob("00000000000000a2", "p", 1, 100*time.Millisecond)
+		b.submit(next, 100*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		var state work.State
+		b.onLoop(func() { state, _ = b.s.State(next.ID) })
+		assert.Equal(t, state, work.Completed)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -360,21 +360,31 @@
 func (s *Scheduler) sendOrphanStop(w *workerState, live worker.Run) {
 	target := w.target()
 	order := worker.StopOrder{Task: live.Task, Run: live.Run, Token: s.Epoch}
-	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) { return s.Workers.Stop(ctx, target, order) },
-		func(_ worker.Reply, err error) {
-			if w.removed || w.orphans[live.Task] != live.Run {
-				return
-			}
-			if err != nil {
-				s.after(stopRetry, func() {
-					if w.orphans[live.Task] == live.Run {
-						s.sendOrphanStop(w, live)
-					}
-				})
-				return
+	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
+		if !s.LeaseValid() {
+			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
+		}
+		return s.Workers.Stop(ctx, target, order)
+	}, func(reply worker.Reply, err error) {
+		if !w.removed && w.orphans[live.Task] == live.Run {
+			s.handleOrphanStopReply(w, live, reply, err)
+		}
+	})
+}
+
+func (s *Scheduler) handleOrphanStopReply(w *workerState, live worker.Run, reply worker.Reply, err error) {
+	switch {
+	case err == nil && reply.Refusal == worker.OtherBoot:
+		s.removeWorker(w, "another worker responds at its address")
+	case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
+		s.scheduleRenewal(w, minRenewInterval)
+	default:
+		s.after(stopRetry, func() {
+			if !w.removed && w.orphans[live.Task] == live.Run {
+				s.sendOrphanStop(w, live)
 			}
-			s.scheduleRenewal(w, minRenewInterval)
 		})
+	}
 }
 
 // maxFailureBackoffs is the maximum multiple of failureBackoff.
