A speculative task doesn't hold back others of its size

A speculative task that asked for a second run, while its first one was on the only worker with room, marked its size as fitting nowhere in that data centre. Late tasks of the same size or larger, which rank behind it, then weren't placed in the pass, nor in any later one until the first run had ended, although the worker had room. A task with a run may not start on that run's worker, so a search that found none for it says nothing about others.

TestSpeculativeTaskHoldsNoOthers failed before: the job was still running 6 s after its submission, 4 s due.

--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -212,7 +212,8 @@
 // qualifies. The sizes in reserved are treated as used.
 func (pl *planner) selectWorker(step *stepState, t *task, reserved map[*workerState]work.Size) *workerState {
 	size := step.size()
-	unconstrained := step.unconstrained() && len(t.failedOn) == 0
+	// A task that failed, or has a run, may not start on every worker with room.
+	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0
 	j := step.occurrence.job
 	var best placement
 	for _, g := range pl.candidates.startingWith(j.Home) {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -509,3 +509,24 @@
 		assert.Equal(t, state, work.Completed)
 	})
 }
+
+// Guards against tasks that wait beside a free worker: a speculative task, whose first run is on the only worker with
+// room, marked its size as fitting nowhere.
+func TestSpeculativeTaskHoldsNoOthers(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob("00000000000000a2", "p", 1, 100*time.Millisecond)
+		job.Steps[0].Speculative = true
+		b.submit(job, 20*time.Second)
+		time.Sleep(2 * time.Second)
+		// Its second step is ready when the job is late, and ranks behind the speculative task.
+		late := singleStepJob(firstJob, "p", 1, 100*time.Millisecond)
+		late.Steps = append(late.Steps, late.Steps[0])
+		late.Steps[1].After = []int{0}
+		b.submit(late, 2*time.Second)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
