The lease's holder takes over the row of a failed attempt

Two candidates that try at the same time can share the rows of the lease: one gets a quorum, the other one row under the same epoch. The holder renewed only free rows of earlier epochs, so that it held two of three rows for its whole epoch, even after the other candidate had released its row. The loss of one more partition then ended a lease that could have continued, with a takeover.

A free row of the held epoch can't belong to another holder: the quorum of the epoch is this entry's, and an attempt that reads one of its rows takes a later epoch. The write still requires the row's version.

TestRowOfFailedAttemptRenewed failed before: "second (record.Holder string) != first (string)", 3 s after the row became available.

--- a/keel/leader/acquire.go
+++ b/keel/leader/acquire.go
@@ -64,13 +64,14 @@
 	}
 }
 
-// canRenew reports whether this entry holds the row, or the row is free and of an earlier epoch. A row of a later epoch
-// must not be written, even if its holder isn't known to have a quorum yet.
+// canRenew reports whether this entry holds the row, or the row is free and not of a later epoch. A row of a later epoch
+// must not be written, even if its holder isn't known to have a quorum yet. A row that another entry wrote under the held
+// epoch is of an attempt without a quorum, because that of the epoch is this entry's.
 func (l *Lease) canRenew(r *leaseRow, now time.Duration) bool {
 	if r.record.Holder == l.Name && r.record.Epoch == l.held.Epoch {
 		return true
 	}
-	return r.record.Epoch < l.held.Epoch && now >= r.availableAt(l.Name, l.respondingSince)
+	return r.record.Epoch <= l.held.Epoch && now >= r.availableAt(l.Name, l.respondingSince)
 }
 
 // updateValidity sets the end of the lease to the time until which a quorum of the renewals is valid.
--- /dev/null
+++ b/keel/leader/lease_test.go
@@ -0,0 +1,150 @@
+package leader_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/control"
+	"samphirekeel.example/keel/emulator"
+	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/leader"
+	"samphirekeel.example/keel/table"
+)
+
+// testbed runs candidates for the lease on an emulated store, whose partitions can be made unavailable.
+type testbed struct {
+	t     *testing.T
+	store *emulator.Store
+	began time.Time
+
+	mu sync.Mutex
+	// unavailable lists the partitions that reject reads and transactions.
+	unavailable []string
+	leases      map[string]*candidate
+}
+
+// candidate is one entry that may hold the lease.
+type candidate struct {
+	lease *leader.Lease
+	stop  context.CancelFunc
+}
+
+func withTestbed(t *testing.T, test func(b *testbed)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &testbed{
+			t: t, store: emulator.NewStore(rand.New(rand.NewPCG(1, 1))), began: time.Now(), leases: make(map[string]*candidate),
+		}
+		defer func() {
+			for name := range b.leases {
+				b.kill(name)
+			}
+		}()
+		test(b)
+	})
+}
+
+// client returns a client of the store that fails calls to unavailable partitions.
+func (b *testbed) client(name string) *table.Store {
+	store := b.store.Client(name)
+	read, commit := store.Read, store.Commit
+	refused := func(partition string) error {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if slices.Contains(b.unavailable, partition) {
+			return fault.New(fault.PlatformUnavailable, "partition %s unavailable", partition).WithOutcome(fault.NotRun)
+		}
+		return nil
+	}
+	store.Read = func(ctx context.Context, r table.Range) (table.Page, error) {
+		err := refused(r.Partition)
+		if err != nil {
+			return table.Page{}, err
+		}
+		return read(ctx, r)
+	}
+	store.Commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		err := refused(txn.Writes[0].Partition)
+		if err != nil {
+			return table.Result{}, err
+		}
+		return commit(ctx, txn)
+	}
+	return store
+}
+
+// setUnavailable replaces the list of unavailable partitions.
+func (b *testbed) setUnavailable(partitions ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unavailable = partitions
+}
+
+// start starts a candidate.
+func (b *testbed) start(name string, rank int) *leader.Lease {
+	ctx, cancel := context.WithCancel(b.t.Context())
+	loop := control.New(100)
+	l := &leader.Lease{
+		Store: b.client(name), Loop: loop, Log: event.New(io.Discard, true), Name: name, Address: name, Rank: rank,
+		Now:        func() time.Duration { return time.Since(b.began) + time.Hour },
+		OnAcquired: func(int64, leader.Record) {}, OnLost: func(string) {},
+	}
+	started, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		ended <- loop.Run(ctx, func() {
+			l.Start()
+			close(started)
+		})
+	}()
+	<-started
+	b.leases[name] = &candidate{lease: l, stop: func() {
+		cancel()
+		assert.NilError(b.t, <-ended)
+	}}
+	return l
+}
+
+// kill stops a candidate without a release of the lease.
+func (b *testbed) kill(name string) {
+	b.leases[name].stop()
+	delete(b.leases, name)
+	synctest.Wait()
+}
+
+// Guards against a holder that never renews one of the rows. Another candidate wrote it under the same epoch in an
+// attempt that reached no quorum, so that the loss of one more row ends the lease.
+func TestRowOfFailedAttemptRenewed(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.setUnavailable("lease2")
+		l := b.start("first", 0)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, l.Valid())
+		key := table.Key{Table: leader.Table, Partition: "lease2", Name: "leader"}
+		attempt := leader.Record{Holder: "second", Address: "second", Epoch: l.Leader().Epoch, LeaseMillis: 1300}
+		b.store.Put(table.Write{Key: key, Value: encode(t, attempt)})
+		b.setUnavailable()
+		time.Sleep(3 * time.Second)
+		row, _ := b.store.Get(key)
+		var record leader.Record
+		assert.NilError(t, json.Unmarshal(row.Value, &record))
+		assert.Equal(t, record.Holder, "first")
+		b.setUnavailable("lease0")
+		time.Sleep(6 * time.Second)
+		assert.Assert(t, l.Valid())
+	})
+}
+
+func encode(t *testing.T, record leader.Record) []byte {
+	value, err := json.Marshal(record)
+	assert.NilError(t, err)
+	return value
+}
