The lease works with a quorum of its rows after the feed's history is gone

An entry that starts, or whose last poll is older than the store's history, read all three rows of the lease before it went on with the change feed. While one partition was unavailable it repeated that for ever: it saw no change of the leader, and its last response from the store stayed too old for it to acquire the lease. If all candidates were in that state, a quorum of the rows was available and nobody led.

The rows are now read side by side; the feed continues from the lowest version of a quorum of them, and the rest is read in the background. A row that isn't read yet may be known with an old version. That is harmless: a write requires the row's current version, and a failed one returns the row.

--- a/keel/leader/lease.go
+++ b/keel/leader/lease.go
@@ -129,25 +129,39 @@
 // Valid reports whether this entry holds the lease and may act under it now.
 func (l *Lease) Valid() bool { return int64(l.Now()) < l.validUntil.Load() }
 
-// readRow reads a row, with retries until one attempt succeeds.
+// readRow reads a row, with retries until one attempt succeeds; it returns at once while another call reads the row.
 func (l *Lease) readRow(ctx context.Context, r *leaseRow) {
+	if !r.reading.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.reading.Store(false)
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := l.Store.Read(callCtx, table.Range{Table: Table, Partition: r.partition, From: rowName, Limit: 1})
-		cancel()
+		page, err := l.readOnce(ctx, r)
 		if err == nil {
-			l.Loop.Post(ctx, func() {
-				r.observed = true
-				for _, row := range page.Rows {
-					l.observeRow(r, row)
-				}
-			})
+			l.observePage(ctx, r, page)
 			return
 		}
 		sleep(ctx, feedRetryDelay)
 	}
 }
 
+// readOnce reads a row.
+func (l *Lease) readOnce(ctx context.Context, r *leaseRow) (table.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return l.Store.Read(ctx, table.Range{Table: Table, Partition: r.partition, From: rowName, Limit: 1})
+}
+
+// observePage applies a read of the row's partition.
+func (l *Lease) observePage(ctx context.Context, r *leaseRow, page table.Page) {
+	l.Loop.Post(ctx, func() {
+		r.observed = true
+		for _, row := range page.Rows {
+			l.observeRow(r, row)
+		}
+	})
+}
+
 // followFeed polls the change feed and observes the changed rows until ctx ends.
 func (l *Lease) followFeed(ctx context.Context) {
 	var after uint64
@@ -193,25 +207,48 @@
 	}
 }
 
-// resync reads all rows and returns the version from which the feed continues, which is the given one if a read fails.
+// rowPage is the result of reading one row.
+type rowPage struct {
+	row  *leaseRow
+	page table.Page
+	err  error
+}
+
+// resync reads the rows until a quorum of them is read and returns the version from which the feed continues, which is
+// the given one if there is no quorum. The other rows are read in the background: the lease doesn't need them, and their
+// partitions may be unavailable for long.
 func (l *Lease) resync(ctx context.Context, version uint64) uint64 {
-	next := uint64(0)
+	results := make(chan rowPage, rowCount)
 	for _, r := range l.rows {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := l.Store.Read(callCtx, table.Range{Table: Table, Partition: r.partition, From: rowName, Limit: 1})
-		cancel()
-		if err != nil {
-			sleep(ctx, feedRetryDelay)
-			return version
+		go func() {
+			page, err := l.readOnce(ctx, r)
+			results <- rowPage{row: r, page: page, err: err}
+		}()
+	}
+	read := make(map[*leaseRow]bool)
+	next := uint64(0)
+	for range l.rows {
+		result := <-results
+		if result.err != nil {
+			continue
 		}
-		if next == 0 || page.Version < next {
-			next = page.Version
+		l.observePage(ctx, result.row, result.page)
+		read[result.row] = true
+		if next == 0 || result.page.Version < next {
+			next = result.page.Version
+		}
+		if len(read) >= quorum {
+			break
+		}
+	}
+	if len(read) < quorum {
+		sleep(ctx, feedRetryDelay)
+		return version
+	}
+	for _, r := range l.rows {
+		if !read[r] {
+			go l.readRow(ctx, r)
 		}
-		l.Loop.Post(ctx, func() {
-			for _, row := range page.Rows {
-				l.observeRow(r, row)
-			}
-		})
 	}
 	return next
 }
--- a/keel/leader/lease_test.go
+++ b/keel/leader/lease_test.go
@@ -113,6 +113,16 @@
 	return l
 }
 
+// holder returns the name of the candidate that holds the lease, empty if none does.
+func (b *testbed) holder() string {
+	for name, c := range b.leases {
+		if c.lease.Valid() {
+			return name
+		}
+	}
+	return ""
+}
+
 // kill stops a candidate without a release of the lease.
 func (b *testbed) kill(name string) {
 	b.leases[name].stop()
@@ -120,6 +130,34 @@
 	synctest.Wait()
 }
 
+// Guards against a lease that nobody can acquire although a quorum of its rows is available. The change feed no longer
+// has the changes since the candidate's last poll, or since version 0 for one that starts, and one row can't be read.
+func TestLeaseAcquiredWithoutOneRow(t *testing.T) {
+	for _, partition := range []string{"lease0", "lease1", "lease2"} {
+		t.Run(partition, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.start("first", 0)
+				b.start("second", 1)
+				time.Sleep(3 * time.Second)
+				first := b.holder()
+				assert.Assert(t, first != "")
+				b.setUnavailable(partition)
+				b.store.DropHistory()
+				third := b.start("third", 2)
+				time.Sleep(time.Second)
+				assert.Equal(t, third.Leader().Holder, first)
+				b.kill(first)
+				time.Sleep(4 * time.Second)
+				second := b.holder()
+				assert.Assert(t, second != "")
+				b.kill(second)
+				time.Sleep(4 * time.Second)
+				assert.Assert(t, b.holder() != "")
+			})
+		})
+	}
+}
+
 // Guards against a holder that never renews one of the rows. Another candidate wrote it under the same epoch in an
 // attempt that reached no quorum, so that the loss of one more row ends the lease.
 func TestRowOfFailedAttemptRenewed(t *testing.T) {
--- a/keel/leader/row.go
+++ b/keel/leader/row.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"samphirekeel.example/keel/control"
@@ -27,6 +28,8 @@
 	// changedAt is when the last change of the row was observed; observed reports whether the row was read at all.
 	changedAt time.Duration
 	observed  bool
+	// reading reports that a read of the row is repeated until it succeeds.
+	reading atomic.Bool
 	// writing reports that a write of the row is in flight.
 	writing bool
 	// validUntil is when this entry's renewal of the row expires, 0 if it doesn't hold the row.
