Renewals that could not be sent neither silence a worker nor extend its lease

Cause: each failed renewal was taken for a worker that doesn't respond, and each attempt advanced the recorded end of the lease, sent or not. Only a silent worker's lease could expire in the record, so runs whose worker isn't silent but can't be renewed had no bound either.

Change: an error of kind overloaded says nothing about the worker; a renewal that was certainly not sent gives back its extension; a lease that has expired ends the runs, whether the worker is silent or not.

Test: TestRenewalsNotSent, failed before: the worker isn't usable after 2 s.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -530,3 +530,32 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against taking the leader's own overload for a silent worker: renewals that could not be sent say nothing
+// about the worker, which gets tasks in between. But they don't extend its lease either: once that has expired, its runs
+// are over.
+func TestRenewalsNotSent(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstanceIn("m2", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(longRunningJob(1, 1), 0)
+		time.Sleep(time.Second)
+		host := b.hosts()[0]
+		inner := b.fleet.WorkerClient("leader").Renew
+		b.renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+			if to.ID == host.ID {
+				return worker.Status{}, fault.New(fault.Overloaded, "all control workers are busy").WithOutcome(fault.NotRun)
+			}
+			return inner(ctx, to, o)
+		}
+		time.Sleep(2 * time.Second)
+		usable := false
+		b.onLoop(func() { usable = b.s.usable(b.s.workers[host.ID], b.s.Now()) })
+		assert.Assert(t, usable)
+		time.Sleep(workerLease + 3*time.Second)
+		running, total := b.checker.LongRunningCounts()
+		assert.Equal(t, running, total)
+	})
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -36,6 +36,7 @@
 	now := s.Now()
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
+	before := w.leaseExpiry
 	if w.fenced && w.unresponsiveSince == 0 {
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && len(w.runs) > 0 {
@@ -43,13 +44,16 @@
 			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
 	}
-	target := w.target()
+	target, extended := w.target(), w.leaseExpiry
 	call(s, order.Wait+renewTimeoutMargin, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) },
 		func(status worker.Status, err error) {
 			w.renewing = false
 			if w.removed {
 				return
 			}
+			if err != nil && fault.As(err).Outcome() == fault.NotRun && w.leaseExpiry == extended {
+				w.leaseExpiry = before
+			}
 			s.Metrics.addRenewal()
 			s.handleRenewal(w, now, status, err)
 		})
@@ -57,7 +61,9 @@
 
 func (s *Scheduler) handleRenewal(w *workerState, sent time.Duration, status worker.Status, err error) {
 	if err != nil {
-		s.markUnresponsive(w, err)
+		if !fault.IsKind(err, fault.Overloaded) {
+			s.markUnresponsive(w, err)
+		}
 		s.scheduleRenewal(w, renewRetry)
 		return
 	}
@@ -182,12 +188,12 @@
 	}
 }
 
-// checkWorkers removes the runs of unresponsive workers whose lease has expired, removes idle workers without a
+// checkWorkers removes the runs of workers whose lease has expired, removes idle workers without a
 // registration, and renews the leases that are due for renewal.
 func (s *Scheduler) checkWorkers(now time.Duration) {
 	for _, w := range s.workers {
 		switch {
-		case w.unresponsiveSince != 0 && w.leaseExpiry != 0 && now > w.leaseExpiry:
+		case w.leaseExpiry != 0 && now > w.leaseExpiry:
 			s.expireWorkerLease(w)
 		case !w.registered && len(w.runs)+len(w.orphans) == 0 && (w.fenced || w.leaseExpiry == 0):
 			s.removeWorker(w, "its registration was removed and nothing runs on it")
@@ -197,8 +203,7 @@
 	}
 }
 
-// expireWorkerLease removes the runs of an unresponsive worker whose lease has expired, because none of them can still
-// be in progress.
+// expireWorkerLease removes the runs of a worker whose lease has expired, because none of them can still be in progress.
 func (s *Scheduler) expireWorkerLease(w *workerState) {
 	for _, r := range sortedRuns(w.runs) {
 		s.removeRun(r, "worker lease expired")
@@ -207,6 +212,6 @@
 	delete(s.unfenced, w.ID)
 	w.leaseExpiry = 0
 	if !w.registered {
-		s.removeWorker(w, "worker is unresponsive, its lease has expired and its registration was removed")
+		s.removeWorker(w, "its lease has expired and its registration was removed")
 	}
 }
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -33,10 +33,11 @@
 	fleet   *emulator.Fleet
 	began   time.Time
 	s       *Scheduler
-	// commit, start and stop replace the store's and the workers' calls if they are set.
+	// commit, start, stop and renew replace the store's and the workers' calls if they are set.
 	commit func(ctx context.Context, txn table.Txn) (table.Result, error)
 	start  func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error)
 	stop   func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error)
+	renew  func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error)
 	mu     sync.Mutex
 	// maintained and moved record the orders to instances.
 	maintained, moved []string
@@ -123,6 +124,13 @@
 		}
 		return innerStop(ctx, to, o)
 	}
+	innerRenew := workers.Renew
+	workers.Renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+		if b.renew != nil {
+			return b.renew(ctx, to, o)
+		}
+		return innerRenew(ctx, to, o)
+	}
 	b.s = &Scheduler{
 		Loop: b.loop, Log: event.New(io.Discard, true), Store: store, Workers: workers, Provider: b.recordingProvider(),
 		Bounds: deployment.Bounds{
