A worker that was removed although it is alive comes back

The scheduler removes a worker if the instance list names another one on its instance, and when an order that ends it was accepted. Both may be wrong about the present worker: an order for maintenance or a move that got no response but was carried out is accepted again as already done once the instance is back, with its new worker, and a list may be stale. The store changes a registration only when more than its sequence number changes, so such a worker never came back: capacity lost for the epoch, and for a wrong list its runs unmanaged.

Registrations are now kept for as long as the store has them. A worker that an instance list, requested more than the list's lag after the removal, shows on an instance that is up is added again; it gets tasks once it has accepted the epoch.

TestRepeatedMaintenanceOrderKeepsWorker and TestStaleListLosesNoWorker failed before: the job was still queued 2 and 3 s after its submission. The emulator rewrites registrations at each heartbeat, which hid this; both tests set it to 30 s.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -130,9 +130,21 @@
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
+	for _, i := range all {
+		s.restoreListed(i, sent)
+	}
 	s.schedulePlan()
 }
 
+// restoreListed adds the instance's worker again if it was removed although it is alive: the store still has its
+// registration, whose row doesn't change any more, and a list that was requested more than listLag later shows it.
+func (s *Scheduler) restoreListed(i provider.Instance, sent time.Duration) {
+	stored, ok := s.registrations[i.Worker]
+	if ok && i.State == provider.Up && s.workers[i.Worker] == nil && stored.removedAt+listLag < sent {
+		s.register(stored.Registration)
+	}
+}
+
 // checkReachedSparePool clears the pending move of an instance that has arrived in a spare pool, so that it can be
 // moved again. No worker registers there, so only the instance list shows the arrival.
 func (s *Scheduler) checkReachedSparePool(i provider.Instance) {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -559,3 +559,58 @@
 		assert.Equal(t, running, total)
 	})
 }
+
+// Guards against losing a live worker for good. The order for the maintenance of its instance gets no response but is
+// carried out; the order is given again when the instance is back, and is accepted since the maintenance was done.
+func TestRepeatedMaintenanceOrderKeepsWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		// The store changes a registration only when more than its sequence number changes.
+		b.fleet.Times.Heartbeat = 30 * time.Second
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		first := true
+		maintain := b.s.Provider.Maintain
+		b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
+			refusal, err := maintain(ctx, id, wave, fence)
+			if first {
+				first = false
+				<-ctx.Done()
+				return provider.Accepted, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.Unknown)
+			}
+			return refusal, err
+		}
+		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 20, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		time.Sleep(15 * time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
+
+// Guards against losing a live worker for good when an instance list names another worker on its instance.
+func TestStaleListLosesNoWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.fleet.Times.Heartbeat = 30 * time.Second
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(1500 * time.Millisecond)
+		list := b.s.Provider.List
+		stale := true
+		b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
+			page, err := list(ctx, token)
+			if stale && len(page.Instances) > 0 {
+				stale = false
+				page.Instances[0].Worker = "w-earlier"
+			}
+			return page, err
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, !stale)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -59,6 +59,8 @@
 	pendingCancels map[string]bool
 	pools          map[string]*pool
 	workers        map[string]*workerState
+	// registrations holds the registrations in the store by worker, those of removed workers included.
+	registrations map[string]storedRegistration
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
@@ -103,6 +105,7 @@
 	s.pendingCancels = make(map[string]bool)
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
+	s.registrations = make(map[string]storedRegistration)
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -86,6 +86,13 @@
 	idleSince    time.Duration
 }
 
+// storedRegistration is a registration in the store.
+type storedRegistration struct {
+	worker.Registration
+	// removedAt is when the worker was last removed although it was registered.
+	removedAt time.Duration
+}
+
 // pendingEnd is an end that the worker must keep until the change that follows from it is stored; job is nil if nothing
 // needs to be stored.
 type pendingEnd struct {
@@ -155,8 +162,8 @@
 		s.register(r)
 	}
 	if complete {
-		for id, w := range s.workers {
-			if w.registered && !listed[id] {
+		for id := range s.registrations {
+			if !listed[id] {
 				s.unregister(id)
 			}
 		}
@@ -166,6 +173,7 @@
 
 // unregister records that the worker's registration is gone. It gets no new tasks; its runs may finish.
 func (s *Scheduler) unregister(id string) {
+	delete(s.registrations, id)
 	w := s.workers[id]
 	if w == nil || !w.registered {
 		return
@@ -177,6 +185,7 @@
 }
 
 func (s *Scheduler) register(r worker.Registration) {
+	s.registrations[r.ID] = storedRegistration{Registration: r, removedAt: s.registrations[r.ID].removedAt}
 	w := s.workers[r.ID]
 	known := w != nil && w.registered
 	w = s.ensureWorker(r)
@@ -271,6 +280,11 @@
 	s.ledger.removeRows(w.rosterRows)
 	s.Workers.Forget(w.Address)
 	delete(s.workers, w.ID)
+	stored, ok := s.registrations[w.ID]
+	if ok {
+		stored.removedAt = s.Now()
+		s.registrations[w.ID] = stored
+	}
 	s.schedulePlan()
 }
 
