A failed order to an instance frees the worker that it was for

While an order to an instance is in flight its worker gets no tasks. When the order failed, the worker that is by then the instance's latest one was freed. If that had changed meanwhile (the late registration of an earlier worker, while the instance list is stale), the worker that the order was for got no tasks for the rest of the epoch. The reply now frees the worker on which the order set the mark, and starts a placement pass.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -614,3 +614,35 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a worker that never gets tasks again: while an order to its instance is in flight, which then fails, the
+// late registration of an earlier worker takes its place as the instance's latest one.
+func TestFailedOrderFreesTheWorkerItWasFor(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.s.Provider.List = func(ctx context.Context, _ string) (provider.Page, error) {
+			<-ctx.Done()
+			return provider.Page{}, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.NotRun)
+		}
+		b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
+			time.Sleep(500 * time.Millisecond)
+			return provider.Busy, nil
+		}
+		b.onLoop(func() {
+			current := b.s.workerOf["m1"]
+			i := b.s.fleet.instances["m1"]
+			i.Worker = ""
+			b.s.fleet.instances["m1"] = i
+			b.s.move("m1", "spare", "p", 0, b.s.Now(), "instance is idle")
+			earlier := current.Registration
+			earlier.ID, earlier.Address = "w-earlier", "10.0.9.9:80"
+			b.s.register(earlier)
+		})
+		time.Sleep(time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -146,7 +146,7 @@
 		}
 		return s.Provider.Move(ctx, instance, to, fence)
 	}, func(refusal provider.Refusal, err error) {
-		s.handleOrderFailure(instance, "move", refusal, err)
+		s.handleOrderFailure(instance, w, "move", refusal, err)
 		if err != nil || refusal != provider.Accepted {
 			delete(s.fleet.incoming, instance)
 			if refusal == provider.Unsuitable {
@@ -166,9 +166,9 @@
 	s.fleet.unsuitable[instance][pool] = true
 }
 
-// handleOrderFailure logs an order to an instance that was rejected or failed, and lets the instance's worker get tasks
-// again: at once, or after providerTimeout if the outcome is unknown. Accepted orders are ignored.
-func (s *Scheduler) handleOrderFailure(instance, order string, refusal provider.Refusal, err error) {
+// handleOrderFailure logs an order to an instance that was rejected or failed, and lets w, its worker when the order was
+// given, get tasks again: at once, or after providerTimeout if the outcome is unknown. Accepted orders are ignored.
+func (s *Scheduler) handleOrderFailure(instance string, w *workerState, order string, refusal provider.Refusal, err error) {
 	if err == nil && refusal == provider.Accepted {
 		return
 	}
@@ -177,7 +177,6 @@
 		reason = err.Error()
 	}
 	s.Log.Write(event.InstanceOrderRefused, event.Fields{"instance": instance, "order": order, "reason": reason})
-	w := s.workerOf[instance]
 	if w == nil {
 		return
 	}
@@ -185,13 +184,13 @@
 		// The order may still be carried out, which the worker's lease renewals will show. If the worker is still there
 		// after the timeout, it gets tasks again.
 		s.after(providerTimeout, func() {
-			if !w.removed {
-				w.orderPending = false
-			}
+			w.orderPending = false
+			s.schedulePlan()
 		})
 		return
 	}
 	w.orderPending = false
+	s.schedulePlan()
 }
 
 // endWorkerOf removes the worker of an instance after an accepted order has ended it, and records the instance as
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -268,7 +268,7 @@
 		return s.Provider.Maintain(ctx, id, w.Number, fence)
 	}, func(refusal provider.Refusal, err error) {
 		delete(w.ordering, id)
-		s.handleOrderFailure(id, "maintenance", refusal, err)
+		s.handleOrderFailure(id, worker, "maintenance", refusal, err)
 		if err != nil && fault.As(err).Outcome() != fault.NotRun || err == nil && refusal == provider.Accepted {
 			// If the outcome is unknown, the instance may have gone down, so it counts towards the wave's limit.
 			w.down[id] = s.Now() + s.Bounds.MaintenanceTime + returnGrace
