A task that fits on no worker gets an instance

A pool whose workers had enough free capacity in sum, but not in one piece (or not the memory, or the label), never asked for another instance for plain tasks and gangs: its demand counts processor capacity only, and tasks that "only lack capacity" were left out of the constraints. The task waited for as long as the other runs lasted, for ever beside long-running ones, while the spare pool had idle instances. A step whose task has waited longer than the time in which the demand clears a backlog (1 s) now asks for an instance of its own, a gang for as many as its members take.

For such a need only an instance counts on which the task would fit and which has its label; before, a long-running task with a label had instances moved in at random. The same filter holds for the workers that are reclaimed, and instances that the service rejected for the pool aren't reclaimed for it any more (no test of its own).

TestTaskThatFitsNowhereGetsAnInstance (single task and gang, each run by itself) and TestLabelledTaskGetsALabelledInstance failed before: the jobs were still queued 6 and 8 s after a suitable spare instance was there.

--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -23,10 +23,12 @@
 	idle []*workerState
 }
 
-// shortfall returns the capacity that the pool lacks, counting a whole instance for each worker that placement
-// constraints require.
-func (d *demand) shortfall(instanceCapacity int64) int64 {
-	return max(d.required-d.capacity-d.incoming, int64(d.pool.missingWorkers)*instanceCapacity-d.incoming)
+// shortfall returns the capacity that the pool lacks.
+func (d *demand) shortfall() int64 { return d.required - d.capacity - d.incoming }
+
+// missing returns the capacity of the workers that unplaced tasks need in addition, a whole instance for each.
+func (d *demand) missing(instanceCapacity int64) int64 {
+	return int64(d.pool.missing.workers)*instanceCapacity - d.incoming
 }
 
 // onTimeShortfall returns the capacity that the pool lacks for long-running tasks and for jobs that can still meet
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/work"
 )
 
@@ -27,13 +29,12 @@
 	candidates candidates
 	// unfenced holds, by data centre, the unfenced worker whose lease expires last.
 	unfenced map[string]*workerState
-	// missingWorkers is the number of additional workers that unplaced tasks need because of placement constraints.
-	missingWorkers int
+	missing  missing
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
 	jobs := p.waitingJobs(now)
-	p.missingWorkers = 0
+	p.missing = missing{}
 	if len(jobs) == 0 {
 		return
 	}
@@ -41,7 +42,7 @@
 	for _, j := range jobs {
 		pl.placeJob(j)
 	}
-	p.missingWorkers = pl.missingWorkers
+	p.missing = pl.missing
 }
 
 // newPlanner returns a planner with the pool's usable workers as candidates.
@@ -115,7 +116,7 @@
 		return
 	}
 	if pl.isHopeless(step) {
-		pl.missingWorkers = max(pl.missingWorkers, step.workersFor(step.waiting))
+		pl.missing.add(step, pl.workersFor(step, step.waiting))
 		return
 	}
 	unplaced := 0
@@ -133,7 +134,7 @@
 	}
 	if unplaced > 0 {
 		pl.allowDataCentres(step, unplaced)
-		pl.missingWorkers = max(pl.missingWorkers, step.workersFor(unplaced))
+		pl.missing.add(step, pl.workersFor(step, unplaced))
 	}
 }
 
@@ -165,15 +166,33 @@
 }
 
 // workersFor returns how many additional workers the unplaced tasks need because of the step's constraints. Tasks that
-// only lack capacity count for none, because requiredCapacity covers them.
-func (st *stepState) workersFor(tasks int) int {
+// only lack capacity count for none, because requiredCapacity covers them, unless one has waited for longer than that
+// takes: then no worker has the free capacity in one piece, or the label.
+func (pl *planner) workersFor(step *stepState, tasks int) int {
 	switch {
-	case st.spec.MaxPerWorker > 0:
-		return (tasks + st.spec.MaxPerWorker - 1) / st.spec.MaxPerWorker
-	case st.spec.LongRunning:
+	case step.spec.MaxPerWorker > 0:
+		return (tasks + step.spec.MaxPerWorker - 1) / step.spec.MaxPerWorker
+	case step.spec.LongRunning:
 		return 1
+	case !step.hasWaited(backlogClearTime, pl.now):
+		return 0
+	case step.spec.Gang:
+		perWorker := int(max(1, pl.s.instanceCapacity()/max(1, step.size().MilliCores)))
+		return (tasks + perWorker - 1) / perWorker
 	}
-	return 0
+	return 1
+}
+
+// hasWaited reports whether a task of the step has been able to start for longer than the duration.
+func (st *stepState) hasWaited(duration, now time.Duration) bool {
+	return slices.ContainsFunc(st.tasks, func(t *task) bool {
+		return t.needsRun() && now >= t.notBefore && now-t.readySince > duration
+	})
+}
+
+// suits reports whether an idle worker of the instance could run a task of the step.
+func (st *stepState) suits(i provider.Instance) bool {
+	return i.Capacity.Holds(st.size()) && (st.spec.Label == "" || slices.Contains(i.Labels, st.spec.Label))
 }
 
 // placeGang starts all tasks of a gang step in one pass, or none.
@@ -192,6 +211,7 @@
 		w := pl.selectWorker(step, t, reserved)
 		if w == nil {
 			pl.allowDataCentres(step, 1)
+			pl.missing.add(step, pl.workersFor(step, len(step.tasks)-i))
 			return
 		}
 		reserved[w] = reserved[w].Plus(step.size())
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"samphirekeel.example/keel/provider"
 )
 
 // pool holds a pool's workers and the open jobs of its queues.
@@ -12,8 +14,27 @@
 	workers  map[*workerState]bool
 	jobs     map[*job]bool
 	arrivals arrivals
-	// missingWorkers is the number of additional workers that tasks need because of placement constraints.
-	missingWorkers int
+	// missing is what the latest placement pass lacked although the pool may have capacity for it.
+	missing missing
+}
+
+// missing is a number of additional workers that unplaced tasks need because their steps' constraints, or the
+// fragmentation of free capacity, keep them off the present ones, with these steps.
+type missing struct {
+	workers int
+	steps   []*stepState
+}
+
+func (m *missing) add(step *stepState, workers int) {
+	if workers > 0 {
+		m.workers = max(m.workers, workers)
+		m.steps = append(m.steps, step)
+	}
+}
+
+// suits reports whether a new worker of the instance could run a task of one of the steps.
+func (m *missing) suits(i provider.Instance) bool {
+	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.suits(i) })
 }
 
 func (s *Scheduler) pool(name string) *pool {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -646,3 +646,47 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a task that waits for ever beside a spare instance: the pool has as much capacity as its tasks need, but
+// no worker has room for the task.
+func TestTaskThatFitsNowhereGetsAnInstance(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		withTestbed(t, func(b *testbed) {
+			b.addInstance("m1")
+			b.addInstance("m2")
+			b.startEpoch(1, "p")
+			time.Sleep(500 * time.Millisecond)
+			lasting := singleStepJob("00000000000000a2", "p", 2, time.Minute)
+			lasting.Steps[0].LongRunning, lasting.Steps[0].MaxPerWorker, lasting.Steps[0].Size.MilliCores = true, 1, 8000
+			b.submit(lasting, time.Minute)
+			time.Sleep(time.Second)
+			job := singleStepJob(firstJob, "p", 1, 500*time.Millisecond)
+			job.Steps[0].Gang, job.Steps[0].Size.MilliCores = gang, 16000
+			b.submit(job, 500*time.Millisecond)
+			// The job's arrival isn't counted as expected work any more.
+			time.Sleep(5 * time.Second)
+			b.fleet.Add("m3", "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+			time.Sleep(6 * time.Second)
+			assert.Equal(t, b.state(), work.Completed, "gang: %v", gang)
+		})
+	}
+}
+
+// Guards against a task that waits for ever for a labelled worker while the spare pool has an instance with the label.
+func TestLabelledTaskGetsALabelledInstance(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		for _, id := range []string{"m2", "m3", "m4"} {
+			b.fleet.Add(id, "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+		}
+		b.fleet.Add("m5", "spare", "a", "ra-1", work.Size{MilliCores: 16000, MemoryMB: 32768})
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 1, 100*time.Millisecond)
+		job.Steps[0].Label = "ra-1"
+		b.submit(job, 100*time.Millisecond)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.orders()[0], "m5")
+	})
+}
--- a/keel/schedule/reclaim.go
+++ b/keel/schedule/reclaim.go
@@ -27,13 +27,13 @@
 // reclaimFor frees workers of other pools for a pool that falls short while no instance is idle. In pools with excess
 // capacity, checkpointed runs restart on other workers of their pool where mayRelocate permits it. With onTime, it also
 // reclaims workers that the other pools need only for late jobs.
-func (s *Scheduler) reclaimFor(demands []*demand, to *demand, shortfall int64, onTime bool, now time.Duration) {
+func (s *Scheduler) reclaimFor(demands []*demand, to *demand, shortfall int64, suits suitable, onTime bool, now time.Duration) {
 	maxWait := reclaimWait
 	if onTime {
 		maxWait = reclaimWaitOnTime
 	}
 	for _, d := range demands {
-		if d == to || d.pool.missingWorkers > 0 && !onTime {
+		if d == to || d.pool.missing.workers > 0 && !onTime {
 			continue
 		}
 		reserve := d.reserve(onTime)
@@ -44,6 +44,10 @@
 			if shortfall <= 0 {
 				return
 			}
+			i := s.fleet.instances[w.Instance]
+			if s.fleet.unsuitable[w.Instance][to.pool.name] || !suits(i) {
+				continue
+			}
 			capacity := d.capacityWithout(w, now)
 			if float64(capacity) < reserve {
 				break
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -15,21 +15,29 @@
 func (s *Scheduler) scaleUp(demands []*demand, now time.Duration) {
 	s.fleet.scarce = false
 	for _, d := range demands {
-		s.scaleUpPool(demands, d, d.onTimeShortfall(), true, now)
+		s.scaleUpPool(demands, d, d.onTimeShortfall(), anyInstance, true, now)
 	}
 	for _, d := range demands {
-		s.scaleUpPool(demands, d, d.shortfall(s.instanceCapacity()), false, now)
+		s.scaleUpPool(demands, d, d.shortfall(), anyInstance, false, now)
+	}
+	for _, d := range demands {
+		s.scaleUpPool(demands, d, d.missing(s.instanceCapacity()), d.pool.missing.suits, false, now)
 	}
 }
 
-// scaleUpPool moves instances into a pool until the shortfall is covered: idle instances of other pools first, then
-// spare ones. If none is available, it reclaims workers of other pools.
-func (s *Scheduler) scaleUpPool(demands []*demand, to *demand, shortfall int64, onTime bool, now time.Duration) {
+// suitable reports whether an instance could run what a pool falls short for.
+type suitable func(provider.Instance) bool
+
+func anyInstance(provider.Instance) bool { return true }
+
+// scaleUpPool moves suitable instances into a pool until the shortfall is covered: idle instances of other pools first,
+// then spare ones. If none is available, it reclaims workers of other pools.
+func (s *Scheduler) scaleUpPool(demands []*demand, to *demand, shortfall int64, suits suitable, onTime bool, now time.Duration) {
 	for shortfall > 0 {
-		instance, capacity, from := s.selectInstance(demands, to, onTime, now)
+		instance, capacity, from := s.selectInstance(demands, to, suits, onTime, now)
 		if instance == "" {
 			s.fleet.scarce = true
-			s.reclaimFor(demands, to, shortfall, onTime, now)
+			s.reclaimFor(demands, to, shortfall, suits, onTime, now)
 			return
 		}
 		s.move(instance, to.pool.name, from, capacity, now, "pool is short of capacity")
@@ -46,10 +54,10 @@
 	return 0
 }
 
-// selectInstance returns an instance that can move into the pool, with its capacity and its present pool. An idle
+// selectInstance returns a suitable instance that can move into the pool, with its capacity and its present pool. An idle
 // instance of a pool with excess capacity is preferred to a spare one: it saves the order that would move it to the
 // spare pool.
-func (s *Scheduler) selectInstance(demands []*demand, to *demand, onTime bool, now time.Duration) (string, int64, string) {
+func (s *Scheduler) selectInstance(demands []*demand, to *demand, suits suitable, onTime bool, now time.Duration) (string, int64, string) {
 	for _, d := range demands {
 		if d == to {
 			continue
@@ -60,7 +68,7 @@
 				break
 			}
 			i := s.fleet.instances[w.Instance]
-			if s.movable(i, to.pool.name, scaleUpRateShare, now) {
+			if suits(i) && s.movable(i, to.pool.name, scaleUpRateShare, now) {
 				d.idle = slices.Delete(d.idle, n, n+1)
 				d.capacity = capacity
 				return w.Instance, w.Capacity.MilliCores, d.pool.name
@@ -68,7 +76,7 @@
 		}
 	}
 	for _, i := range s.spareInstances() {
-		if s.movable(i, to.pool.name, scaleUpRateShare, now) && s.knownIdle(i, s.workerOf[i.ID]) {
+		if suits(i) && s.movable(i, to.pool.name, scaleUpRateShare, now) && s.knownIdle(i, s.workerOf[i.ID]) {
 			return i.ID, i.Capacity.MilliCores, i.Pool
 		}
 	}
@@ -103,7 +111,7 @@
 		return
 	}
 	for _, d := range demands {
-		if d.pool.missingWorkers > 0 {
+		if d.pool.missing.workers > 0 {
 			continue
 		}
 		for _, w := range slices.Clone(d.idle) {
