Workers get tasks while no maintenance can start

A wave that is behind schedule keeps tasks off its next instances and evicts their long-running tasks. It did so too while the instance service was unreachable, for as long as that lasted: tasks waited beside idle workers, and long-running tasks were stopped for a maintenance that couldn't start. Idle workers lost up to 4 s at a time to orders without a response.

Without an instance list a wave now waits and its workers get tasks; nothing is moved to the spare pool either. While orders get no response (for 2 s after the last one), idle instances are still ordered, but none is emptied. Moves into a pool that falls short are tried as before.

TestNoCordonWithoutInstanceService failed before: the job was still queued 3 s after its submission.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -40,6 +40,9 @@
 	headroom = 1.15
 )
 
+// instanceList is the name of the instance list among the sources whose outages are tracked.
+const instanceList = "instances"
+
 // fleetState is the state of the instances and of the orders that were given to them.
 type fleetState struct {
 	instances      map[string]provider.Instance
@@ -57,6 +60,8 @@
 	recentOrders []time.Duration
 	// lastOrder holds, by instance, when this holder last gave it an order.
 	lastOrder map[string]time.Duration
+	// orderFailedAt is when an order last got no response, 0 if the latest response came after that.
+	orderFailedAt time.Duration
 }
 
 type incomingInstance struct {
@@ -85,10 +90,10 @@
 			s.fleet.listing = false
 			s.after(listInterval, s.fetchInstances)
 			if err != nil {
-				s.recordStoreFailure("instances", err)
+				s.recordStoreFailure(instanceList, err)
 				return
 			}
-			s.recordStoreResponse("instances")
+			s.recordStoreResponse(instanceList)
 			s.applyInstances(all, sent)
 		})
 }
@@ -204,6 +209,16 @@
 	return recent
 }
 
+// listFails reports whether the latest request for the instance list failed.
+func (s *Scheduler) listFails() bool { return s.outages.byTable[instanceList] != nil }
+
+// acceptsOrders reports whether the instance service is expected to accept orders: the instance list is available, and no
+// order has gone without a response for providerTimeout.
+func (s *Scheduler) acceptsOrders(now time.Duration) bool {
+	failedAt := s.fleet.orderFailedAt
+	return !s.listFails() && (failedAt == 0 || now-failedAt > providerTimeout)
+}
+
 func (s *Scheduler) fence() provider.Fence { return provider.Fence{Holder: s.Holder, Token: s.Epoch} }
 
 // rebalance moves instances between pools according to the pools' demand.
@@ -220,5 +235,7 @@
 	demands := s.demands(now)
 	s.logDemands(demands, now)
 	s.scaleUp(demands, now)
-	s.scaleDown(demands, now)
+	if s.acceptsOrders(now) {
+		s.scaleDown(demands, now)
+	}
 }
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -690,3 +690,39 @@
 		assert.Equal(t, b.orders()[0], "m5")
 	})
 }
+
+// failInstanceService makes the instance service unreachable, with its list and all orders.
+func (b *testbed) failInstanceService() {
+	failed := fault.New(fault.PlatformUnavailable, "connection refused").WithOutcome(fault.NotRun)
+	b.s.Provider.List = func(context.Context, string) (provider.Page, error) { return provider.Page{}, failed }
+	b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
+		return provider.Accepted, failed
+	}
+	b.s.Provider.Maintain = func(context.Context, string, int64, provider.Fence) (provider.Refusal, error) {
+		return provider.Accepted, failed
+	}
+}
+
+// Guards against tasks that wait, and long-running tasks that are stopped, for a maintenance that can't start: the
+// instance service is unreachable, and the wave is behind schedule.
+func TestNoCordonWithoutInstanceService(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startPair()
+		b.onLoop(b.failInstanceService)
+		time.Sleep(500 * time.Millisecond)
+		started := b.fleet.Starts
+		wave := provider.Wave{Number: 1, Instances: []string{"m1", "m2"}, DeadlineSeconds: 5, MaxConcurrent: 2}
+		b.checker.AddWave(wave)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		time.Sleep(time.Second)
+		job := singleStepJob("00000000000000a2", "p", 1, 100*time.Millisecond)
+		b.submit(job, 100*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		var state work.State
+		b.onLoop(func() { state, _ = b.s.State(job.ID) })
+		assert.Equal(t, state, work.Completed)
+		assert.Equal(t, b.fleet.Starts, started+1, "long-running tasks were stopped")
+	})
+}
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -175,8 +175,9 @@
 }
 
 // handleOrderFailure logs an order to an instance that was rejected or failed, and lets w, its worker when the order was
-// given, get tasks again: at once, or after providerTimeout if the outcome is unknown. Accepted orders are ignored.
+// given, get tasks again: at once, or after providerTimeout if the outcome is unknown. Accepted orders only show that the service responds.
 func (s *Scheduler) handleOrderFailure(instance string, w *workerState, order string, refusal provider.Refusal, err error) {
+	s.fleet.orderFailedAt = 0
 	if err == nil && refusal == provider.Accepted {
 		return
 	}
@@ -184,6 +185,9 @@
 	if err != nil {
 		reason = err.Error()
 	}
+	if fault.IsKind(err, fault.PlatformUnavailable) {
+		s.fleet.orderFailedAt = s.Now()
+	}
 	s.Log.Write(event.InstanceOrderRefused, event.Fields{"instance": instance, "order": order, "reason": reason})
 	if w == nil {
 		return
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -131,6 +131,10 @@
 		s.completeWave(w, now)
 		return
 	}
+	if s.listFails() {
+		// Workers get tasks until the list shows whether their maintenance can start.
+		return
+	}
 	behind := s.behindSchedule(w, len(pending), now)
 	concurrency := s.evictionConcurrency(w, pending, now)
 	if s.fleet.scarce && !behind && concurrency <= minEvictionConcurrency {
@@ -145,7 +149,9 @@
 			s.startMaintenance(w, id, now)
 		}
 	}
-	s.cordon(w, pending, concurrency, behind)
+	if s.acceptsOrders(now) {
+		s.cordon(w, pending, concurrency, behind)
+	}
 }
 
 // timeToDeadline returns the time until the wave's deadline, less waveDeadlineMargin.
