Workers for long-running tasks are asked for before those of late jobs

Cause: workers that a step's constraints require were counted in the last round only, in which no instance is taken from late jobs, although long-running tasks come before all others in the order of service.

Change: those of long-running tasks are counted in the first round, with the jobs that are still on time.

Test: TestConstrainedLongRunningTaskComesBeforeLateJobs, failed before: the second task had no run 6 s after its submission.

--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -31,6 +31,11 @@
 	return int64(d.pool.missing.workers)*instanceCapacity - d.incoming
 }
 
+// missingLongRunning returns the part of missing for long-running tasks.
+func (d *demand) missingLongRunning(instanceCapacity int64) int64 {
+	return int64(d.pool.missing.longRunning)*instanceCapacity - d.incoming
+}
+
 // onTimeShortfall returns the capacity that the pool lacks for long-running tasks and for jobs that can still meet
 // their objective.
 func (d *demand) onTimeShortfall() int64 { return d.requiredOnTime - d.capacity - d.incoming }
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -22,13 +22,18 @@
 // fragmentation of free capacity, keep them off the present ones, with these steps.
 type missing struct {
 	workers int
-	steps   []*stepState
+	// longRunning is the part of workers for long-running tasks.
+	longRunning int
+	steps       []*stepState
 }
 
 func (m *missing) add(step *stepState, workers int) {
 	if workers > 0 {
 		m.workers = max(m.workers, workers)
 		m.steps = append(m.steps, step)
+		if step.spec.LongRunning {
+			m.longRunning = max(m.longRunning, workers)
+		}
 	}
 }
 
@@ -37,6 +42,11 @@
 	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.suits(i) })
 }
 
+// suitsLongRunning reports whether a new worker of the instance could run a task of one of the long-running steps.
+func (m *missing) suitsLongRunning(i provider.Instance) bool {
+	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.spec.LongRunning && step.suits(i) })
+}
+
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -726,3 +726,23 @@
 		assert.Equal(t, b.fleet.Starts, started+1, "long-running tasks were stopped")
 	})
 }
+
+// Guards against a long-running task that waits for another worker, which the limit of its step requires, until the
+// backlog of another pool is served: late jobs there kept every instance.
+func TestConstrainedLongRunningTaskComesBeforeLateJobs(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p", "q")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(longRunningJob(1, 1), 0)
+		b.submit(singleStepJob("00000000000000b1", "q", 1200, 700*time.Millisecond), 700*time.Millisecond)
+		time.Sleep(6 * time.Second)
+		job := longRunningJob(2, 1)
+		job.ID, job.Steps[0].MaxPerWorker = "00000000000000a2", 1
+		b.submit(job, 0)
+		time.Sleep(6 * time.Second)
+		running, total := b.checker.LongRunningCounts()
+		assert.Equal(t, running, total)
+	})
+}
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -16,6 +16,7 @@
 	s.fleet.scarce = false
 	for _, d := range demands {
 		s.scaleUpPool(demands, d, d.onTimeShortfall(), anyInstance, true, now)
+		s.scaleUpPool(demands, d, d.missingLongRunning(s.instanceCapacity()), d.pool.missing.suitsLongRunning, true, now)
 	}
 	for _, d := range demands {
 		s.scaleUpPool(demands, d, d.shortfall(), anyInstance, false, now)
@@ -175,7 +176,8 @@
 }
 
 // handleOrderFailure logs an order to an instance that was rejected or failed, and lets w, its worker when the order was
-// given, get tasks again: at once, or after providerTimeout if the outcome is unknown. Accepted orders only show that the service responds.
+// given, get tasks again: at once, or after providerTimeout if the outcome is unknown. Accepted orders only show that the
+// service responds.
 func (s *Scheduler) handleOrderFailure(instance string, w *workerState, order string, refusal provider.Refusal, err error) {
 	s.fleet.orderFailedAt = 0
 	if err == nil && refusal == provider.Accepted {
