A table is followed although one of its partitions can't be read

At the start, and after the feed's history is gone, a follower read all partitions of its table one after another and delivered nothing until all were read in one pass. While one of the eight partitions of submissions was unavailable, the leader learned from the store about no submission in the other seven: a job whose announcement was lost, for example over a change of leader, was accepted and waited for the end of that outage. The same held for cancellations in the ledger's partitions.

Each partition is now read by itself with retries. The feed is polled as soon as one is read, from the lowest version of the reads, so that no change between two reads is lost; a change may be delivered twice, which all users of the follower accept.

--- a/keel/table/follower.go
+++ b/keel/table/follower.go
@@ -15,12 +15,14 @@
 	followTimeoutMargin = 700 * time.Millisecond
 	// followRetryDelay is the delay before a failed poll or read is retried.
 	followRetryDelay = 100 * time.Millisecond
+	// unreadPollWait is the wait of a poll while a partition isn't read yet, so that its rows are delivered soon.
+	unreadPollWait = 100 * time.Millisecond
 	// followReadTimeout is the timeout for reading one partition.
 	followReadTimeout = 2 * time.Second
 )
 
-// Follower follows the changes of a table. It reads the whole table at the start, and again if the change feed no
-// longer has the changes after the last version read.
+// Follower follows the changes of a table. It reads all partitions at the start, and again if the change feed no longer
+// has the changes after the last version read. A partition that can't be read is retried beside the others.
 type Follower struct {
 	Store *Store
 	Table string
@@ -30,75 +32,152 @@
 	// between the end of a poll and the next one.
 	PollWait     time.Duration
 	PollInterval time.Duration
-	// OnRows is called with the changed rows, or with all rows of the table if whole is set.
+	// OnRows is called with the changed rows, or with all rows of one partition if whole is set.
 	OnRows func(rows []Row, whole bool)
-	// OnError is called after each failed read or poll, and OnSuccess after each successful one. All three callbacks
-	// are called on the goroutine of Run.
+	// OnError is called after each failed read or poll, and OnSuccess after each successful one once all partitions are
+	// read. All three callbacks are called on the goroutine of Run.
 	OnError   func(error)
 	OnSuccess func()
 }
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var after uint64
-	reload := true
+	r := f.newRound(ctx)
+	delay := time.Duration(0)
 	for ctx.Err() == nil {
-		var rows []Row
-		var err error
-		if reload {
-			rows, after, err = f.readTable(ctx)
-		} else {
-			rows, after, err = f.poll(ctx, after)
+		f.collect(ctx, r, delay)
+		if ctx.Err() != nil {
+			break
 		}
+		rows, err := f.poll(ctx, r)
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		if err != nil {
-			reload = reload || fault.IsKind(err, fault.HistoryGone)
 			f.OnError(err)
-			sleep(ctx, followRetryDelay)
+			delay = followRetryDelay
+			if fault.IsKind(err, fault.HistoryGone) {
+				r.cancel()
+				r = f.newRound(ctx)
+			}
 			continue
 		}
-		f.OnSuccess()
-		if len(rows) > 0 || reload {
-			f.OnRows(rows, reload)
+		if r.unread == 0 {
+			f.OnSuccess()
 		}
-		reload = false
-		sleep(ctx, f.PollInterval)
+		if len(rows) > 0 {
+			f.OnRows(rows, false)
+		}
+		delay = f.PollInterval
 	}
+	r.cancel()
 }
 
-func (f *Follower) poll(ctx context.Context, after uint64) ([]Row, uint64, error) {
-	wait := f.PollWait
-	if wait == 0 {
-		wait = followWait
-	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+followTimeoutMargin)
-	defer cancel()
-	changes, err := f.Store.Feed(callCtx, f.Table, after, wait)
-	if err != nil {
-		return nil, after, err
+// round is one reading of all partitions, and the changes after it.
+type round struct {
+	// cancel ends the reads.
+	cancel context.CancelFunc
+	reads  chan read
+	// unread is the number of partitions that are not read yet.
+	unread int
+	// begun reports that a partition is read, so that after is set: the version from which the feed continues.
+	begun bool
+	after uint64
+}
+
+// read is the result of reading one partition.
+type read struct {
+	page Page
+	err  error
+}
+
+// newRound starts reading all partitions.
+func (f *Follower) newRound(parent context.Context) *round {
+	ctx, cancel := context.WithCancel(parent)
+	r := &round{cancel: cancel, reads: make(chan read), unread: len(f.Partitions)}
+	for _, partition := range f.Partitions {
+		go f.readPartition(ctx, partition, r.reads)
 	}
-	return changes.Rows, max(after, changes.Version), nil
+	return r
 }
 
-// readTable reads all partitions and returns the lowest of their versions, from which the feed continues.
-func (f *Follower) readTable(ctx context.Context) ([]Row, uint64, error) {
-	var rows []Row
-	var version uint64
-	for i, partition := range f.Partitions {
+// readPartition reads a partition, with retries until one attempt succeeds, and sends the result of each attempt.
+func (f *Follower) readPartition(ctx context.Context, partition string, reads chan<- read) {
+	for {
 		callCtx, cancel := context.WithTimeout(ctx, followReadTimeout)
 		page, err := f.Store.ReadAll(callCtx, Range{Table: f.Table, Partition: partition})
 		cancel()
-		if err != nil {
-			return nil, 0, err
+		select {
+		case reads <- read{page: page, err: err}:
+		case <-ctx.Done():
+			return
 		}
-		if i == 0 || page.Version < version {
-			version = page.Version
+		if err == nil {
+			return
 		}
-		rows = append(rows, page.Rows...)
+		sleep(ctx, followRetryDelay)
+	}
+}
+
+// collect applies the reads that end within the duration; if no partition is read yet, it waits for the first one.
+func (f *Follower) collect(ctx context.Context, r *round, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	expired := timer.C
+	if !r.begun {
+		expired = nil
+	}
+	for {
+		select {
+		case result := <-r.reads:
+			begun := r.begun
+			f.apply(r, result)
+			if r.begun && !begun {
+				return
+			}
+		case <-expired:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// apply delivers the rows of a partition. The feed continues from the lowest version of all reads, since the partitions
+// are read at different times.
+func (f *Follower) apply(r *round, result read) {
+	if result.err != nil {
+		f.OnError(result.err)
+		return
+	}
+	if !r.begun || result.page.Version < r.after {
+		r.after = result.page.Version
+	}
+	r.begun = true
+	r.unread--
+	if r.unread == 0 {
+		f.OnSuccess()
+	}
+	f.OnRows(result.page.Rows, true)
+}
+
+// poll returns the rows that have changed after the round's version.
+func (f *Follower) poll(ctx context.Context, r *round) ([]Row, error) {
+	wait := f.PollWait
+	if wait == 0 {
+		wait = followWait
+	}
+	if r.unread > 0 {
+		wait = min(wait, unreadPollWait)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+followTimeoutMargin)
+	defer cancel()
+	changes, err := f.Store.Feed(callCtx, f.Table, r.after, wait)
+	if err != nil {
+		return nil, err
 	}
-	return rows, version, nil
+	r.after = max(r.after, changes.Version)
+	return changes.Rows, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
