A follower applies finished reads before the next poll

With no interval between polls, the choice between a finished read and the end of the interval was left to chance, so that a partition's rows could be delivered some polls late. TestFollowerWithoutOnePartition failed once in a run with the race detector: old-2 wasn't delivered 500 ms after the start.

--- a/keel/table/follower.go
+++ b/keel/table/follower.go
@@ -123,19 +123,26 @@
 func (f *Follower) collect(ctx context.Context, r *round, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
-	expired := timer.C
-	if !r.begun {
-		expired = nil
+	for !r.begun {
+		select {
+		case result := <-r.reads:
+			f.apply(r, result)
+		case <-ctx.Done():
+			return
+		}
 	}
 	for {
+		// Reads that have ended are applied even if the duration is over.
 		select {
 		case result := <-r.reads:
-			begun := r.begun
 			f.apply(r, result)
-			if r.begun && !begun {
-				return
-			}
-		case <-expired:
+			continue
+		default:
+		}
+		select {
+		case result := <-r.reads:
+			f.apply(r, result)
+		case <-timer.C:
 			return
 		case <-ctx.Done():
 			return
