A partition of many rows is read in the end

A takeover read the whole ledger within one timeout of 2.5 s, and a follower each partition within 2 s; after the timeout both began again with the first row. A partition with more pages than fit into the timeout was therefore never read: no leader became ready, and nothing was placed, until the store was faster. Stubs of ended jobs stay in the table, so that the number of pages grows with the jobs ever submitted; while the store is 60 times as slow as usual, 11 pages of 500 rows are too many.

The timeout now applies to a page, and an attempt continues with the page that failed. Pages of different attempts belong together: the guards are raised before the ledger's partitions are read, and the submissions, cancels and registrations are followed by their feeds, which read them again.

--- a/keel/ledger/load.go
+++ b/keel/ledger/load.go
@@ -42,22 +42,41 @@
 // Load reads the whole ledger; for submissions that arrive during the read, the caller follows the change feed of their
 // table.
 func Load(ctx context.Context, store *table.Store) (Contents, error) {
-	var ranges []table.Range
+	return NewLoader(store).Load(ctx)
+}
+
+// Loader reads the whole ledger in one or more attempts; an attempt continues where the previous one failed.
+type Loader struct {
+	scans []*table.Scan
+}
+
+// NewLoader returns a loader that has read nothing yet.
+func NewLoader(store *table.Store) *Loader {
+	l := &Loader{}
 	for _, partition := range LeaderPartitions() {
 		for _, name := range []string{JobRecords, Cancels, Roster, Waves} {
-			ranges = append(ranges, table.Range{Table: name, Partition: partition})
+			l.scans = append(l.scans, store.Scan(table.Range{Table: name, Partition: partition}))
 		}
 	}
 	for _, partition := range SubmissionPartitions() {
-		ranges = append(ranges, table.Range{Table: Submissions, Partition: partition})
+		l.scans = append(l.scans, store.Scan(table.Range{Table: Submissions, Partition: partition}))
 	}
-	pages := make([]table.Page, len(ranges))
-	group, ctx := errgroup.WithContext(ctx)
-	for i, r := range ranges {
+	return l
+}
+
+// Load reads what is not read yet. The leader raises the guards before, so that rows that are read in different attempts
+// belong together; for submissions and cancels, it follows the change feeds.
+func (l *Loader) Load(ctx context.Context) (Contents, error) {
+	// A failed scan doesn't cancel the others, so that these need not be repeated.
+	var group errgroup.Group
+	for _, scan := range l.scans {
 		group.Go(func() error {
-			page, err := store.ReadAll(ctx, r)
-			pages[i] = page
-			return err
+			for {
+				done, err := scan.Next(ctx)
+				if done || err != nil {
+					return err
+				}
+			}
 		})
 	}
 	err := group.Wait()
@@ -68,8 +87,8 @@
 		JobRecords: make(map[string]JobRecord), Roster: make(map[string]RosterRecord), RosterRows: make(map[string][]table.Condition),
 		Waves: make(map[int64]WaveProgress),
 	}
-	for _, page := range pages {
-		for _, row := range page.Rows {
+	for _, scan := range l.scans {
+		for _, row := range scan.Page().Rows {
 			err := c.add(row)
 			if err != nil {
 				c.Unreadable = append(c.Unreadable, Unreadable{Row: row, Reason: err.Error()})
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -54,16 +54,23 @@
 	registrations table.Page
 }
 
+// loadStore reads the store. An attempt continues where the previous one failed, because one timeout may not suffice for
+// all rows.
 func (s *Scheduler) loadStore() {
+	registrations := s.Store.Scan(table.Range{Table: s.Rows.RegistrationTable})
+	loader := ledger.NewLoader(s.Store)
 	takeoverStep(s, "load", func(ctx context.Context) (snapshot, error) {
-		var snap snapshot
-		var err error
-		snap.registrations, err = s.Store.ReadAll(ctx, table.Range{Table: s.Rows.RegistrationTable})
-		if err != nil {
-			return snap, err
+		for {
+			done, err := registrations.Next(ctx)
+			if err != nil {
+				return snapshot{}, err
+			}
+			if done {
+				break
+			}
 		}
-		snap.ledger, err = ledger.Load(ctx, s.Store)
-		return snap, err
+		contents, err := loader.Load(ctx)
+		return snapshot{ledger: contents, registrations: registrations.Page()}, err
 	}, s.takeOver)
 }
 
--- a/keel/table/follower.go
+++ b/keel/table/follower.go
@@ -17,7 +17,7 @@
 	followRetryDelay = 100 * time.Millisecond
 	// unreadPollWait is the wait of a poll while a partition isn't read yet, so that its rows are delivered soon.
 	unreadPollWait = 100 * time.Millisecond
-	// followReadTimeout is the timeout for reading one partition.
+	// followReadTimeout is the timeout for reading one page of a partition.
 	followReadTimeout = 2 * time.Second
 )
 
@@ -101,18 +101,22 @@
 	return r
 }
 
-// readPartition reads a partition, with retries until one attempt succeeds, and sends the result of each attempt.
+// readPartition reads a partition, with retries of each page until it succeeds, and sends the result or the failures.
 func (f *Follower) readPartition(ctx context.Context, partition string, reads chan<- read) {
+	scan := f.Store.Scan(Range{Table: f.Table, Partition: partition})
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, followReadTimeout)
-		page, err := f.Store.ReadAll(callCtx, Range{Table: f.Table, Partition: partition})
+		done, err := scan.Next(callCtx)
 		cancel()
+		if !done && err == nil {
+			continue
+		}
 		select {
-		case reads <- read{page: page, err: err}:
+		case reads <- read{page: scan.Page(), err: err}:
 		case <-ctx.Done():
 			return
 		}
-		if err == nil {
+		if done {
 			return
 		}
 		sleep(ctx, followRetryDelay)
--- a/keel/table/follower_test.go
+++ b/keel/table/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -176,6 +177,20 @@
 	})
 }
 
+// Guards against a partition that is never read because it has more rows than one timeout suffices for while the store is
+// slow.
+func TestFollowerReadsLargePartition(t *testing.T) {
+	follow(t, func(t *testing.T, b *testbed) {
+		for i := range 8000 {
+			b.put("1", fmt.Sprintf("%016x", i))
+		}
+		b.store.Inject(&emulator.StoreFault{SlowFactor: 60})
+		b.start(t)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, len(b.names()), 8003)
+	})
+}
+
 // Guards against a log with an outage that ends at each poll while a partition can't be read.
 func TestFollowerReportsUnreadPartition(t *testing.T) {
 	follow(t, func(t *testing.T, b *testbed) {
--- a/keel/table/table.go
+++ b/keel/table/table.go
@@ -96,21 +96,53 @@
 // ReadAll reads all pages of a range. Version is that of the first page, so that the change feed from this version
 // includes all changes during the read; Now is that of the last page.
 func (s *Store) ReadAll(ctx context.Context, r Range) (Page, error) {
-	var all Page
+	scan := s.Scan(r)
 	for {
-		page, err := s.Read(ctx, r)
+		done, err := scan.Next(ctx)
 		if err != nil {
 			return Page{}, err
 		}
-		if all.Version == 0 {
-			all.Version = page.Version
-		}
-		all.Rows = append(all.Rows, page.Rows...)
-		all.Now = page.Now
-		if !page.More || len(page.Rows) == 0 {
-			return all, nil
+		if done {
+			return scan.Page(), nil
 		}
+	}
+}
+
+// Scan returns a scan of a range.
+func (s *Store) Scan(r Range) *Scan { return &Scan{store: s, next: r} }
+
+// Scan reads a range page by page. After a failure it continues with the failed page, so that a range of many pages is
+// read in the end although the store is slow or rejects some calls.
+type Scan struct {
+	store *Store
+	// next is the range without the pages that are read.
+	next Range
+	all  Page
+	done bool
+}
+
+// Next reads the next page, if there is one, and reports whether all pages are read.
+func (s *Scan) Next(ctx context.Context) (bool, error) {
+	if s.done {
+		return true, nil
+	}
+	page, err := s.store.Read(ctx, s.next)
+	if err != nil {
+		return false, err
+	}
+	if s.all.Version == 0 {
+		s.all.Version = page.Version
+	}
+	s.all.Rows = append(s.all.Rows, page.Rows...)
+	s.all.Now = page.Now
+	s.done = !page.More || len(page.Rows) == 0
+	if !s.done {
 		// The next page starts with the lowest name after the last one.
-		r.From = page.Rows[len(page.Rows)-1].Name + "\x00"
+		s.next.From = page.Rows[len(page.Rows)-1].Name + "\x00"
 	}
+	return s.done, nil
 }
+
+// Page returns the rows of the pages that are read. Version is that of the first page, so that the change feed from this
+// version includes all changes during the scan; Now is that of the last page.
+func (s *Scan) Page() Page { return s.all }
