A takeover fences each ledger partition by itself

The guards of the three partitions were raised in one step, which began again with all three when one call failed. The failure also cancelled the other calls, so that their outcome became unknown. While responses of the store are lost, the step needed three successes in the same attempt, with up to 2.5 s for each attempt, and no leader placed anything meanwhile.

Each guard is now raised and retried separately. An earlier guard of one partition lowers the version below which jobs count as inherited to that of the first raised guard, which is still later than the end of the previous leader's lease, so that no earlier leader has started jobs of a later version.

TestTakeoverRepeatsOnlyFailedCalls failed before: not ready after 3 s, with one lost response for each partition.

--- a/keel/ledger/load.go
+++ b/keel/ledger/load.go
@@ -136,30 +136,6 @@
 	return nil
 }
 
-// RaiseGuards writes the epoch to the guards of all partitions of the leader and returns the guards' new versions by
-// partition; it fails with kind Conflict if a guard has a later epoch.
-func RaiseGuards(ctx context.Context, store *table.Store, epoch int64) (map[string]uint64, error) {
-	partitions := LeaderPartitions()
-	versions := make([]uint64, len(partitions))
-	group, groupCtx := errgroup.WithContext(ctx)
-	for i, partition := range partitions {
-		group.Go(func() error {
-			version, err := RaiseGuard(groupCtx, store, partition, epoch)
-			versions[i] = version
-			return err
-		})
-	}
-	err := group.Wait()
-	if err != nil {
-		return nil, err
-	}
-	guards := make(map[string]uint64)
-	for i, partition := range partitions {
-		guards[partition] = versions[i]
-	}
-	return guards, nil
-}
-
 // RaiseGuard writes the epoch to the guard of one partition and returns the guard's new version, which makes all writes
 // conditional on an earlier version fail; it fails with kind Conflict if the guard has a later epoch.
 func RaiseGuard(ctx context.Context, store *table.Store, partition string, epoch int64) (uint64, error) {
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -33,19 +33,24 @@
 	})
 }
 
-// raiseGuards fences the ledger against writes of earlier leaders.
+// raiseGuards fences the ledger against writes of earlier leaders, and then loads it. Each partition is fenced by itself,
+// so that a failed call is repeated only for its partition.
 func (s *Scheduler) raiseGuards() {
-	takeoverStep(s, "guard", func(ctx context.Context) (map[string]uint64, error) {
-		return ledger.RaiseGuards(ctx, s.Store, s.Epoch)
-	}, func(guards map[string]uint64) {
-		s.guards = guards
-		for _, version := range guards {
+	s.guards = make(map[string]uint64)
+	partitions := ledger.LeaderPartitions()
+	for _, partition := range partitions {
+		takeoverStep(s, "guard_"+partition, func(ctx context.Context) (uint64, error) {
+			return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
+		}, func(version uint64) {
+			s.guards[partition] = version
 			if s.minGuard == 0 || version < s.minGuard {
 				s.minGuard = version
 			}
-		}
-		s.loadStore()
-	})
+			if len(s.guards) == len(partitions) {
+				s.loadStore()
+			}
+		})
+	}
 }
 
 // snapshot is the store's contents at the time of the takeover.
--- a/keel/schedule/takeover_test.go
+++ b/keel/schedule/takeover_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/emulator"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
 )
@@ -34,3 +36,30 @@
 		assert.Assert(t, b.ready())
 	})
 }
+
+// Guards against a takeover that starts again from the first partition whenever a call for one of them fails.
+func TestTakeoverRepeatsOnlyFailedCalls(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		inner := b.store.Client("leader").Commit
+		calls := make(map[string]int)
+		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+			b.mu.Lock()
+			partition := txn.Writes[0].Partition
+			calls[partition]++
+			n := calls[partition]
+			b.mu.Unlock()
+			// Each partition loses the response of another attempt.
+			if (partition == "ledger0" && n == 1) || (partition == "ledger1" && n == 2) || (partition == "ledger2" && n == 3) {
+				<-ctx.Done()
+				return table.Result{}, fault.New(fault.PlatformUnavailable, "response lost").WithOutcome(fault.Unknown)
+			}
+			return inner(ctx, txn)
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, b.ready())
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		assert.DeepEqual(t, calls, map[string]int{"ledger0": 2, "ledger1": 1, "ledger2": 1})
+	})
+}
