A transaction of the ledger stays below the store's size limit

The ledger writer limited a transaction to 96 rows, but not to the 1 MB that the store accepts. Progress of many large jobs, with the checkpoints of their tasks, could exceed it; the store rejects that transaction in each partition and at each retry, the batch was queued again as it was, and no outcome and no roster row was stored any more under this leader.

A transaction now ends before 400,000 bytes of values, the limit that the submissions have, unless it has a single row.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -16,9 +16,10 @@
 const (
 	// flushDelay batches progress changes before they are written.
 	flushDelay = 25 * time.Millisecond
-	// maxBatchRows is the maximum number of rows in a transaction. The store accepts 100 entries, of which one is the
-	// guard.
-	maxBatchRows = 96
+	// maxBatchRows and maxBatchBytes limit the rows in a transaction. The store accepts 100 entries, of which one is the
+	// guard, and 1 MB in base64.
+	maxBatchRows  = 96
+	maxBatchBytes = 400_000
 	// A write times out after ledgerBaseTimeout plus ledgerLatencyFactor times the latency of the last write; the next
 	// partition is tried then.
 	ledgerBaseTimeout   = 350 * time.Millisecond
@@ -169,34 +170,47 @@
 	jobs      []*job
 	changes   []uint64
 	extraRows []extraRow
+	// bytes is the total size of the values.
+	bytes int
 }
 
 func (l *ledgerWriter) nextBatch() *ledgerBatch {
 	partition := l.partitions[l.current]
 	b := &ledgerBatch{partition: partition, txn: table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, l.s.guards[partition])}}}
-	for len(l.extraRows) > 0 && b.txn.Size() < maxBatchRows {
-		e := l.extraRows[0]
+	for len(l.extraRows) > 0 && b.add(l.extraRows[0].write) {
+		b.extraRows = append(b.extraRows, l.extraRows[0])
 		l.extraRows = l.extraRows[1:]
-		b.extraRows = append(b.extraRows, e)
-		b.txn.Writes = append(b.txn.Writes, table.Write{Key: ledger.InPartition(partition, e.write.Key), Value: e.write.Value})
 	}
 	l.urgent = b.addJobs(l.urgent)
 	l.normal = b.addJobs(l.normal)
 	return b
 }
 
+// add adds a row, whose key must not name a partition, and returns false if the transaction has no room for it. The
+// first row always fits.
+func (b *ledgerBatch) add(w table.Write) bool {
+	n := len(b.txn.Writes)
+	if n > 0 && (n >= maxBatchRows || b.bytes+len(w.Value) > maxBatchBytes) {
+		return false
+	}
+	b.bytes += len(w.Value)
+	b.txn.Writes = append(b.txn.Writes, table.Write{Key: ledger.InPartition(b.partition, w.Key), Value: w.Value})
+	return true
+}
+
 // addJobs adds jobs until the transaction is full and returns the remaining ones.
 func (b *ledgerBatch) addJobs(jobs []*job) []*job {
-	for len(jobs) > 0 && b.txn.Size() < maxBatchRows {
+	for len(jobs) > 0 {
 		j := jobs[0]
-		jobs = jobs[1:]
-		if !j.dirty {
-			continue
+		if j.dirty {
+			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: ledger.Encode(jobRecord(j))}) {
+				break
+			}
+			j.dirty = false
+			b.jobs = append(b.jobs, j)
+			b.changes = append(b.changes, j.lastChange)
 		}
-		j.dirty = false
-		b.jobs = append(b.jobs, j)
-		b.changes = append(b.changes, j.lastChange)
-		b.txn.Writes = append(b.txn.Writes, table.Write{Key: ledger.InPartition(b.partition, ledger.JobRecordKey(j.ID)), Value: ledger.Encode(jobRecord(j))})
+		jobs = jobs[1:]
 	}
 	return jobs
 }
--- /dev/null
+++ b/keel/schedule/persist_test.go
@@ -0,0 +1,66 @@
+package schedule
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/table"
+)
+
+// rejectInvalid makes the store reject the transactions for which invalid returns true, as it rejects those that exceed
+// its limits.
+func (b *testbed) rejectInvalid(invalid func(table.Txn) bool) {
+	inner := b.store.Client("leader").Commit
+	b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		if invalid(txn) {
+			return table.Result{}, fault.New(fault.Internal, "rejected with status 400").WithOutcome(fault.NotRun)
+		}
+		return inner(ctx, txn)
+	}
+}
+
+// Guards against a transaction that the store rejects because its rows together exceed 1 MB.
+func TestLedgerTransactionSize(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		rejected := false
+		b.rejectInvalid(func(txn table.Txn) bool {
+			size := 0
+			for _, w := range txn.Writes {
+				size += base64.StdEncoding.EncodedLen(len(w.Value))
+			}
+			rejected = rejected || size > 1_000_000
+			return size > 1_000_000
+		})
+		checkpoints := make(map[string]string)
+		for i := range 1500 {
+			checkpoints[fmt.Sprintf("0.0.%d", i)] = fmt.Sprintf("%016x", i)
+		}
+		var jobs []*job
+		b.onLoop(func() {
+			for i := range 60 {
+				j := &job{Job: singleStepJob(fmt.Sprintf("%016x", i), "p", 1500, time.Second), checkpoints: checkpoints}
+				jobs = append(jobs, j)
+				b.s.markDirty(j)
+			}
+		})
+		time.Sleep(5 * time.Second)
+		stored := 0
+		b.onLoop(func() {
+			for _, j := range jobs {
+				if j.storedChange == j.lastChange {
+					stored++
+				}
+			}
+		})
+		assert.Equal(t, stored, len(jobs))
+		assert.Assert(t, !rejected)
+	})
+}
