Orders to workers in flight are limited to what is handled in time

Cause: a placement pass sent a start for each task that found room, thousands at once after a move or a takeover. A start times out after 220 ms; more than the leader and its relays can carry in that time were in flight, so most got no reply in time. Each then cost a stop, and kept its worker's room until the worker listed its runs. Stops that timed out were sent again every 150 ms without a limit as well, so that a large number of them kept each other from being handled for good.

Fix: orderWindow limits the starts and, separately, the stops in flight; its limit follows the share of late replies. Stops over the limit wait in order. A placement pass ends at the limit, the next one begins with another pool once a quarter of the orders has ended. A stop to a silent worker is sent again once the worker responds.

With it: a pass counts additional workers for at most 16 waiting steps of a pool, the first in scheduling order, so that its cost doesn't grow with the backlog; tasks_waiting has the cause orders_in_flight.

--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,8 +17,12 @@
 	}
 	now := s.Now()
 	s.lastPlan = now
-	for _, p := range s.pools {
-		s.planPool(p, now)
+	s.passes++
+	s.starts.held = false
+	names := slices.Sorted(maps.Keys(s.pools))
+	for i := range names {
+		// Each pass begins with another pool, so that the limit on the starts in flight doesn't favour one.
+		s.planPool(s.pools[names[(i+s.passes)%len(names)]], now)
 	}
 	s.rebalance(now)
 }
@@ -33,14 +38,22 @@
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
+	if !s.starts.open() {
+		return
+	}
 	jobs := p.waitingJobs(now)
-	p.missing = missing{}
 	if len(jobs) == 0 {
+		p.missing = missing{}
 		return
 	}
 	pl := s.newPlanner(p, now)
 	for _, j := range jobs {
 		pl.placeJob(j)
+		if !s.starts.open() {
+			// The jobs that were not reached may need the workers that an earlier pass found missing.
+			pl.missing.merge(p.missing)
+			break
+		}
 	}
 	p.missing = pl.missing
 }
@@ -116,7 +129,7 @@
 		return
 	}
 	if pl.isHopeless(step) {
-		pl.missing.add(step, pl.workersFor(step, step.waiting))
+		pl.addMissing(step, step.waiting)
 		return
 	}
 	unplaced := 0
@@ -124,6 +137,9 @@
 		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore {
 			continue
 		}
+		if !pl.s.starts.open() {
+			break
+		}
 		w := pl.selectWorker(step, t, nil)
 		if w != nil {
 			pl.logSpeculativeRun(t, w)
@@ -134,7 +150,7 @@
 	}
 	if unplaced > 0 {
 		pl.allowDataCentres(step, unplaced)
-		pl.missing.add(step, pl.workersFor(step, unplaced))
+		pl.addMissing(step, unplaced)
 	}
 }
 
@@ -165,6 +181,13 @@
 	})
 }
 
+// addMissing counts the additional workers that the unplaced tasks of the step need.
+func (pl *planner) addMissing(step *stepState, tasks int) {
+	if !pl.missing.full() {
+		pl.missing.add(step, pl.workersFor(step, tasks))
+	}
+}
+
 // workersFor returns how many additional workers the unplaced tasks need because of the step's constraints. Tasks that
 // only lack capacity count for none, because requiredCapacity covers them, unless one has waited for longer than that
 // takes: then no worker has the free capacity in one piece, or the label.
@@ -200,6 +223,9 @@
 	if !pl.s.ensureTickets(step, pl) {
 		return
 	}
+	if !pl.s.starts.open() {
+		return
+	}
 	// All members get the same run number, the highest that one of them needs.
 	number := int64(0)
 	reserved := make(map[*workerState]work.Size)
@@ -211,7 +237,7 @@
 		w := pl.selectWorker(step, t, reserved)
 		if w == nil {
 			pl.allowDataCentres(step, 1)
-			pl.missing.add(step, pl.workersFor(step, len(step.tasks)-i))
+			pl.addMissing(step, len(step.tasks)-i)
 			return
 		}
 		reserved[w] = reserved[w].Plus(step.size())
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -27,6 +27,13 @@
 	steps       []*stepState
 }
 
+// maxMissingSteps is the maximum number of steps for which additional workers are counted in one pass: the first in
+// scheduling order.
+const maxMissingSteps = 16
+
+// full reports whether no further step is counted.
+func (m *missing) full() bool { return len(m.steps) >= maxMissingSteps }
+
 func (m *missing) add(step *stepState, workers int) {
 	if workers > 0 {
 		m.workers = max(m.workers, workers)
@@ -37,6 +44,17 @@
 	}
 }
 
+// merge adds what an earlier pass lacked for steps that still wait.
+func (m *missing) merge(earlier missing) {
+	for _, step := range earlier.steps {
+		if step.waiting > 0 && !m.full() && !slices.Contains(m.steps, step) {
+			m.workers = max(m.workers, earlier.workers)
+			m.longRunning = max(m.longRunning, earlier.longRunning)
+			m.steps = append(m.steps, step)
+		}
+	}
+}
+
 // suits reports whether a new worker of the instance could run a task of one of the steps.
 func (m *missing) suits(i provider.Instance) bool {
 	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.suits(i) })
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -129,12 +129,17 @@
 
 func (s *Scheduler) sendStart(r *run, order worker.StartOrder) {
 	target := r.worker.target()
+	s.starts.add()
 	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
 		if !s.LeaseValid() {
 			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
 		}
 		return s.Workers.Start(ctx, target, order)
 	}, func(reply worker.Reply, err error) {
+		s.starts.remove(s.Now()-r.ordered, err)
+		if s.starts.passDue() {
+			s.schedulePlan()
+		}
 		if r.worker.runs[r.task.id()] != r {
 			return
 		}
@@ -232,17 +237,32 @@
 		return
 	}
 	r.stopSent = true
-	target := r.worker.target()
-	order := worker.StopOrder{Task: r.task.id(), Run: r.number, Token: s.Epoch}
+	s.stops.do(func() {
+		if r.worker.runs[r.task.id()] != r {
+			return
+		}
+		order := worker.StopOrder{Task: r.task.id(), Run: r.number, Token: s.Epoch}
+		s.callStop(r.worker.target(), order, func(reply worker.Reply, err error) {
+			if r.worker.runs[r.task.id()] == r {
+				s.handleStopReply(r, reply, err)
+			}
+		})
+	})
+}
+
+// callStop sends an order to stop a run, which counts as one in flight until it has ended.
+func (s *Scheduler) callStop(target worker.Target, order worker.StopOrder, done func(worker.Reply, error)) {
+	s.stops.add()
+	sent := s.Now()
 	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
 		if !s.LeaseValid() {
 			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
 		}
 		return s.Workers.Stop(ctx, target, order)
 	}, func(reply worker.Reply, err error) {
-		if r.worker.runs[r.task.id()] == r {
-			s.handleStopReply(r, reply, err)
-		}
+		s.stops.remove(s.Now()-sent, err)
+		done(reply, err)
+		s.stops.sendWaiting()
 	})
 }
 
@@ -272,6 +292,11 @@
 		if r.worker.runs[r.task.id()] != r {
 			return
 		}
+		if r.worker.unresponsiveSince != 0 {
+			// The order is sent again once the worker responds; until then it would only hold up other stops.
+			s.retryStop(r)
+			return
+		}
 		if r.voluntary && r.task.job().open() && !r.worker.Draining && !r.mayDisrupt() {
 			s.retryStop(r)
 			return
@@ -358,17 +383,17 @@
 }
 
 func (s *Scheduler) sendOrphanStop(w *workerState, live worker.Run) {
-	target := w.target()
-	order := worker.StopOrder{Task: live.Task, Run: live.Run, Token: s.Epoch}
-	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
-		if !s.LeaseValid() {
-			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
-		}
-		return s.Workers.Stop(ctx, target, order)
-	}, func(reply worker.Reply, err error) {
-		if !w.removed && w.orphans[live.Task] == live.Run {
-			s.handleOrphanStopReply(w, live, reply, err)
+	isPending := func() bool { return !w.removed && w.orphans[live.Task] == live.Run }
+	s.stops.do(func() {
+		if !isPending() {
+			return
 		}
+		order := worker.StopOrder{Task: live.Task, Run: live.Run, Token: s.Epoch}
+		s.callStop(w.target(), order, func(reply worker.Reply, err error) {
+			if isPending() {
+				s.handleOrphanStopReply(w, live, reply, err)
+			}
+		})
 	})
 }
 
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -74,6 +74,10 @@
 	lastPlan    time.Duration
 	// waitsReportedAt is when waiting tasks were last reported.
 	waitsReportedAt time.Duration
+	// passes counts the placement passes.
+	passes int
+	// starts and stops limit the orders in flight to start and to stop runs.
+	starts, stops orderWindow
 	// runBase is the number below the first run number of this epoch.
 	runBase int64
 }
@@ -109,6 +113,7 @@
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
+	s.starts.limit, s.stops.limit = initialOrderLimit, initialOrderLimit
 	s.fleet.init()
 	s.waves.init()
 	s.outages.init()
@@ -160,6 +165,8 @@
 	s.releaseDue(now)
 	s.checkWorkers(now)
 	s.checkRuns(now)
+	s.starts.adjust()
+	s.stops.adjust()
 	if s.checkLease() {
 		s.rebalance(now)
 		s.advanceWaves(now)
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -31,6 +31,7 @@
 	waitDataCentre   waitCause = "data_centre_not_allowed"
 	waitConstraint   waitCause = "constraint"
 	waitGang         waitCause = "gang"
+	waitOrders       waitCause = "orders_in_flight"
 	// waitNone means that a worker has room for the task and may run it.
 	waitNone waitCause = "none"
 )
@@ -185,6 +186,9 @@
 		return
 	}
 	held.cause = pl.placementWait(t)
+	if held.cause == waitNone && c.s.starts.held {
+		held.cause = waitOrders
+	}
 }
 
 // placementWait returns the reason why no usable worker of the pool can run the task now, or waitNone if one can.
--- /dev/null
+++ b/keel/schedule/window_test.go
@@ -0,0 +1,125 @@
+package schedule
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
+)
+
+// Guards against a backlog whose start orders mostly time out: the path to the workers takes 1 ms for each order, and the
+// free workers could start the whole backlog at once. Each order in doubt is followed by one to stop its run, so that
+// most tasks waited for good.
+func TestBacklogOnSlowPath(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for i := range 60 {
+			b.addInstance("m" + strconv.Itoa(i))
+		}
+		b.slowPath(time.Millisecond)
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		began := time.Now()
+		b.submitMany(200, 12, 100*time.Millisecond)
+		time.Sleep(time.Until(began.Add(4 * time.Second)))
+		// The path carries the starts of all 2,400 tasks in 2.4 s.
+		assert.Equal(t, b.countJobs(work.Completed), 200)
+	})
+}
+
+// Guards against stops that all time out and are sent again for good: the path to the workers takes 3 ms for each order,
+// so that it carries only a part of 300 stops before their timeout.
+func TestManyStopsOnSlowPath(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for i := range 60 {
+			b.addInstance("m" + strconv.Itoa(i))
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		b.submitMany(50, 6, time.Minute)
+		time.Sleep(time.Second)
+		b.slowPath(3 * time.Millisecond)
+		b.onLoop(func() {
+			for id := range b.s.jobs {
+				b.checker.Cancelled(id)
+				b.s.Cancel(id, func() {})
+			}
+		})
+		time.Sleep(2500 * time.Millisecond)
+		running := 0
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				running += len(w.runs)
+			}
+		})
+		// The path carries the 300 stops in 0.9 s.
+		assert.Equal(t, running, 0)
+	})
+}
+
+// submitMany submits jobs with the given number of tasks of one core at the same time.
+func (b *testbed) submitMany(jobs, tasks int, taskDuration time.Duration) {
+	var submitted sync.WaitGroup
+	for i := range jobs {
+		submitted.Go(func() {
+			b.submit(singleStepJob(fmt.Sprintf("%016x", i+1), "p", tasks, taskDuration), taskDuration)
+		})
+	}
+	submitted.Wait()
+}
+
+// countJobs returns the number of jobs in the state.
+func (b *testbed) countJobs(state work.State) int {
+	n := 0
+	b.onLoop(func() {
+		for _, j := range b.s.jobs {
+			if j.state() == state {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// slowPath makes starts and stops pass one after another, each in the given time. An order that times out still passes.
+func (b *testbed) slowPath(timePerOrder time.Duration) {
+	var mu sync.Mutex
+	var freeAt time.Time
+	pass := func(ctx context.Context) error {
+		mu.Lock()
+		if freeAt.Before(time.Now()) {
+			freeAt = time.Now()
+		}
+		freeAt = freeAt.Add(timePerOrder)
+		wait := time.Until(freeAt)
+		mu.Unlock()
+		select {
+		case <-time.After(wait):
+			return nil
+		case <-ctx.Done():
+			return fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
+		}
+	}
+	inner := b.fleet.WorkerClient("leader")
+	b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		err := pass(ctx)
+		if err != nil {
+			return worker.Reply{}, err
+		}
+		return inner.Start(ctx, to, o)
+	}
+	b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		err := pass(ctx)
+		if err != nil {
+			return worker.Reply{}, err
+		}
+		return inner.Stop(ctx, to, o)
+	}
+}
