The emulator checks that a task that could run does run

Faults of entries and of the store excuse a wait that ends within 7 s of them; faults of workers, instances and the configuration excuse none. TestDays and the tests of keel/schedule check it.

--- a/entry/site/cluster_test.go
+++ b/entry/site/cluster_test.go
@@ -86,6 +86,7 @@
 	store := emulator.NewStore(rand.New(rand.NewPCG(seed, 1)))
 	checker := emulator.NewChecker()
 	checker.CancelTime, checker.DisruptionTime = cancelTime, disruptionTime
+	checker.QueuePools = make(map[string]string)
 	fleet := emulator.NewFleet(store, checker, rand.New(rand.NewPCG(seed, 2)), emulator.Times{
 		LeaseMax: leaseMax, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Restore: 100 * time.Millisecond,
 		CheckpointEvery: 2 * time.Second, MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second,
@@ -107,6 +108,7 @@
 
 // addQueue adds a queue to the configuration; putConfig stores it.
 func (c *testCluster) addQueue(name, pool string, attempts int) {
+	c.checker.QueuePools[name] = pool
 	c.queues = append(c.queues, queue.Queue{
 		Name: name, Host: name + ".example", Prefix: "/" + name + "/", Pool: pool, Timeout: 3 * time.Second,
 		LatencyTarget: 600 * time.Millisecond, Stretch: 1.6, MaxAttempts: attempts,
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -156,6 +156,7 @@
 	}
 	defer p.shutdown()
 	p.build()
+	go p.checker.Watch()
 	time.Sleep(5 * time.Second)
 	began := time.Now()
 	done := make(chan struct{})
@@ -264,6 +265,7 @@
 	end := began.Add(time.Duration(p.day.Length))
 	if cancelled {
 		time.Sleep(300 * time.Millisecond)
+		p.checker.CancelRequested(job.ID)
 		p.cancelJob(job.ID, seed, end)
 	}
 	for time.Now().Before(end) {
@@ -407,9 +409,19 @@
 		p.t.Errorf("unknown kind of fault %q", f.Kind)
 		return
 	}
+	if !disturbsEntries[f.Kind] {
+		inject(f, target, time.Duration(f.For))
+		return
+	}
+	p.checker.FaultBegan()
 	inject(f, target, time.Duration(f.For))
+	p.checker.FaultEnded()
 }
 
+// disturbsEntries holds the kinds of faults that disturb entries or the store; tasks may wait while one is active. The
+// other kinds affect workers, instances or the configuration and excuse no wait.
+var disturbsEntries = map[string]bool{"kill": true, "stop": true, "kill_all": true, "cut": true, "store": true, "forget": true}
+
 func (p *dayRun) killAll(_ *dayFault, _ string, length time.Duration) {
 	for _, name := range p.entryNames() {
 		p.group.Go(func() { p.restart(name, length, p.kill) })
@@ -521,6 +533,7 @@
 
 // check compares the results with those that the day requires.
 func (p *dayRun) check() {
+	p.checker.CheckFinalStalls()
 	s := p.checker.Summary()
 	p.mu.Lock()
 	inTime, late, faultFree := p.inTime, p.late, p.faultFree
--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -18,12 +18,17 @@
 	CancelTime time.Duration
 	// DisruptionTime is the time without a run after which a long-running task counts against its disruption budget.
 	DisruptionTime time.Duration
+	// QueuePools maps the name of each queue to that of its pool, for Watch.
+	QueuePools map[string]string
 
 	mu         sync.Mutex
 	fleet      *Fleet
 	jobs       map[string]*jobRecord
 	waves      map[int64]*waveRecord
 	violations []string
+	// activeFaults counts the faults in progress that FaultBegan recorded; disturbedAt is the end of the last one.
+	activeFaults int
+	disturbedAt  time.Time
 }
 
 // jobRecord is the true state of one job.
@@ -35,10 +40,15 @@
 	poisoned    bool
 	submittedAt time.Time
 	accepted    bool
-	cancelledAt time.Time
-	completedAt time.Time
-	failed      bool
-	tasks       map[work.TaskID]*taskRecord
+	acceptedAt  time.Time
+	// cancelRequested reports that a caller has begun to cancel the job.
+	cancelRequested bool
+	cancelledAt     time.Time
+	completedAt     time.Time
+	failed          bool
+	tasks           map[work.TaskID]*taskRecord
+	// idleSince is the time from which the job has had no run although it could, the zero time if it has one.
+	idleSince time.Time
 }
 
 // taskRecord is the true state of one task.
@@ -56,6 +66,12 @@
 	unavailableSince time.Time
 	// disrupted reports that an order ended a ready run of a long-running task, until the task is ready again.
 	disrupted bool
+	// endedAt is the time at which the last run ended.
+	endedAt time.Time
+	// stalledAt is the time from which a long-running task could run and doesn't; stallReported is set once that was
+	// reported.
+	stalledAt     time.Time
+	stallReported bool
 }
 
 type endRecord struct {
@@ -98,7 +114,11 @@
 func (c *Checker) Accepted(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[id].accepted = true
+	j := c.jobs[id]
+	j.accepted = true
+	if j.acceptedAt.IsZero() {
+		j.acceptedAt = time.Now()
+	}
 }
 
 // Cancelled records that the caller got a response that the job was cancelled.
--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -89,6 +89,7 @@
 			delete(task.running, active)
 		}
 	}
+	task.endedAt = time.Now()
 	if r.step.LongRunning {
 		task.unavailableSince = time.Now()
 	}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -56,6 +56,8 @@
 			GangTimeout: 3 * time.Second, RemoteFactor: 1.5, CheckpointEvery: 2 * time.Second, Restore: 100 * time.Millisecond,
 		})
 		fleet.SparePool = "spare"
+		checker.QueuePools = map[string]string{"p": "p", "q": "q"}
+		go checker.Watch()
 		b := &testbed{t: t, loop: control.New(3000), store: store, checker: checker, fleet: fleet, began: time.Now()}
 		ctx, cancel := context.WithCancel(context.Background())
 		started := make(chan struct{})
