A wave ends without the worker of its instance

An instance may be ordered only if it is certain to run nothing. A worker that didn't respond to a new leader, and one that lost its registration while the instance list still showed it, were never certain: the wave waited for them for as long as they stayed away, and so did an instance whose latest worker was such a one. Nothing runs on an instance any more once its listed worker has been unresponsive or unknown for longer than any lease that a leader may have granted, and no other worker has registered there since; it may be ordered then.

TestWaveEndsWithoutItsWorker failed before in both cases, each run by itself: no maintenance 15 s after the wave. The case of a worker that responded to this leader before needs leases that aren't extended without a response. TestWaveWaitsForTheInstancesPresentWorker passed before and guards the other side.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -52,6 +52,10 @@
 	demandLoggedAt time.Duration
 	// scarce is set if some pool falls short and no instance is available for it.
 	scarce bool
+	// unknownSince holds, by instance, since when each list has shown a worker on it that isn't known.
+	unknownSince map[string]time.Duration
+	// registeredAt holds, by instance, when a worker of it was last registered for the first time.
+	registeredAt map[string]time.Duration
 	// incoming holds the instances that were ordered into a pool and have not joined it yet.
 	incoming map[string]incomingInstance
 	// unsuitable holds, by instance, the pools for which the instance service rejected the instance.
@@ -73,6 +77,8 @@
 
 func (f *fleetState) init() {
 	f.instances = make(map[string]provider.Instance)
+	f.unknownSince = make(map[string]time.Duration)
+	f.registeredAt = make(map[string]time.Duration)
 	f.incoming = make(map[string]incomingInstance)
 	f.unsuitable = make(map[string]map[string]bool)
 	f.lastOrder = make(map[string]time.Duration)
@@ -135,9 +141,18 @@
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
+	unknown := make(map[string]time.Duration)
 	for _, i := range all {
 		s.restoreListed(i, sent)
+		if i.Worker != "" && s.workers[i.Worker] == nil {
+			since, ok := s.fleet.unknownSince[i.ID]
+			if !ok {
+				since = s.fleet.listedAt
+			}
+			unknown[i.ID] = since
+		}
 	}
+	s.fleet.unknownSince = unknown
 	s.schedulePlan()
 }
 
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -746,3 +746,53 @@
 		assert.Equal(t, running, total)
 	})
 }
+
+// Guards against a wave that never ends because the worker of one of its instances is gone for good: it does not respond
+// to a new leader, or its registration expired while the instance list still shows it.
+func TestWaveEndsWithoutItsWorker(t *testing.T) {
+	for _, registered := range []bool{true, false} {
+		withTestbed(t, func(b *testbed) {
+			b.addInstance("m1")
+			b.startEpoch(1, "p")
+			time.Sleep(500 * time.Millisecond)
+			if registered {
+				b.onLoop(b.s.End)
+				b.fleet.SetPartitioned("leader", "a", true)
+				b.startEpoch(2, "p")
+			} else {
+				b.fleet.SetStorePartitioned("a", true)
+				time.Sleep(6 * time.Second)
+			}
+			wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 30, MaxConcurrent: 1}
+			b.checker.AddWave(wave)
+			b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+			time.Sleep(15 * time.Second)
+			done, wanted := b.checker.WaveProgress(1)
+			assert.Equal(t, done, wanted, "registered: %v", registered)
+		})
+	}
+}
+
+// Guards against maintenance of an instance whose worker runs tasks, because an earlier worker of the instance, which has
+// no lease any more, passes for its latest one.
+func TestWaveWaitsForTheInstancesPresentWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.Crash("m1", 8*time.Second)
+		time.Sleep(8200 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 10*time.Second), 10*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, b.fleet.Starts, 1)
+		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 4, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		b.fleet.RegisterLate("m1")
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 1)
+		done, wanted := b.checker.WaveProgress(1)
+		assert.Equal(t, done, wanted)
+	})
+}
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -116,7 +116,7 @@
 		w := s.ensureWorker(worker.Registration{ID: id, Address: record.Address, Instance: record.Instance, DataCentre: record.DataCentre})
 		w.rostered, w.rosterRows = true, rows[id]
 		// The previous leader may have granted a full worker lease just before its own lease expired.
-		w.leaseExpiry = s.began + time.Duration(float64(min(workerLease, s.Bounds.LeaseMax))/(1-maxClockDrift)) + orderLatency
+		w.leaseExpiry = s.began + s.maxLeaseTime()
 		s.unfenced[id] = w
 		if s.workerOf[w.Instance] == nil {
 			s.workerOf[w.Instance] = w
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -246,16 +246,31 @@
 	if i.State != provider.Up || incoming || !s.mayOrder(id, rateShare, now) {
 		return false
 	}
-	return s.knownIdle(i, worker) && (worker == nil || !worker.orderPending)
+	return s.knownIdle(i, worker, now) && (worker == nil || !worker.orderPending)
 }
 
 // knownIdle reports whether the instance is certain to run nothing. That is unknown for a worker that is unresponsive
-// or has not accepted this epoch.
-func (s *Scheduler) knownIdle(i provider.Instance, worker *workerState) bool {
-	if worker == nil {
-		return s.Config.Pools[i.Pool].Spare || i.Worker == ""
+// or has not accepted this epoch, and for a listed one that isn't known, until its lease has certainly expired.
+func (s *Scheduler) knownIdle(i provider.Instance, worker *workerState, now time.Duration) bool {
+	switch {
+	case worker == nil && (s.Config.Pools[i.Pool].Spare || i.Worker == ""):
+		return true
+	case worker != nil && len(worker.runs)+len(worker.orphans) > 0:
+		return false
+	case worker != nil && worker.fenced && worker.unresponsiveSince == 0:
+		return true
+	}
+	return s.leaseExpired(i, worker, now)
+}
+
+// leaseExpired reports whether all leases on the instance have expired: its listed worker has been unresponsive or
+// unknown for longer than any lease, and no other worker has registered there since.
+func (s *Scheduler) leaseExpired(i provider.Instance, worker *workerState, now time.Duration) bool {
+	since, unknown := s.fleet.unknownSince[i.ID]
+	if worker != nil {
+		since, unknown = worker.unresponsiveSince, worker.ID == i.Worker && worker.unresponsiveSince != 0 && now > worker.leaseExpiry
 	}
-	return worker.fenced && worker.unresponsiveSince == 0 && len(worker.runs)+len(worker.orphans) == 0
+	return unknown && now-max(since, s.fleet.registeredAt[i.ID]) > s.maxLeaseTime()
 }
 
 // startMaintenance orders an instance to start its maintenance.
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -120,6 +120,11 @@
 	return w.clockValue + (now - w.clockReadAt) + duration
 }
 
+// maxLeaseTime returns the longest time for which a lease that was granted now can be valid.
+func (s *Scheduler) maxLeaseTime() time.Duration {
+	return time.Duration(float64(min(workerLease, s.Bounds.LeaseMax))/(1-maxClockDrift)) + orderLatency
+}
+
 // recordClock records the worker's clock from a response.
 func (s *Scheduler) recordClock(w *workerState, reply worker.Reply) {
 	if reply.Clock > 0 {
@@ -197,6 +202,7 @@
 	w.registered = true
 	if w.firstRegistered == 0 {
 		w.firstRegistered = s.Now()
+		s.fleet.registeredAt[w.Instance] = w.firstRegistered
 	}
 	if w.clockReadAt == 0 && r.Clock > 0 {
 		w.clockValue = r.Clock
