An instance that replaces a rejected one may be moved

An instance that the service rejected for a pool was never ordered there again. When an instance was taken away and another one, of another kind, got its ID, that one stayed in the spare pool too. The mark is now cleared when an instance is listed again, or with another capacity or other labels.

TestReplacedInstanceIsSuitable failed before: the job was still queued 6 s after the new instance was there.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -58,7 +58,8 @@
 	registeredAt map[string]time.Duration
 	// incoming holds the instances that were ordered into a pool and have not joined it yet.
 	incoming map[string]incomingInstance
-	// unsuitable holds, by instance, the pools for which the instance service rejected the instance.
+	// unsuitable holds, by instance, the pools for which the instance service rejected the instance. It is cleared for
+	// an instance that is listed again, or with another capacity or other labels.
 	unsuitable map[string]map[string]bool
 	// recentOrders holds the times of the orders in the last second, for the rate limit.
 	recentOrders []time.Duration
@@ -134,6 +135,10 @@
 			s.workerOf[i.ID] = w
 		}
 		old := previous[i.ID]
+		if old.Capacity != i.Capacity || !slices.Equal(old.Labels, i.Labels) {
+			// Another instance has the ID now.
+			delete(s.fleet.unsuitable, i.ID)
+		}
 		if old.Pool != i.Pool || old.State != i.State || old.Worker != i.Worker {
 			s.Log.Write(event.InstanceListed, event.Fields{"instance": i.ID, "pool": i.Pool, "state": string(i.State), "worker": i.Worker})
 		}
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -796,3 +796,24 @@
 		assert.Equal(t, done, wanted)
 	})
 }
+
+// Guards against a spare instance that is never moved: another instance with its ID was rejected as unsuitable for the
+// pool before.
+func TestReplacedInstanceIsSuitable(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.fleet.Add("m1", "spare", "a", "ra-0", work.Size{MilliCores: 8000, MemoryMB: 32768})
+		b.startEpoch(1, "p")
+		move := b.s.Provider.Move
+		b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
+			return provider.Unsuitable, nil
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(time.Second)
+		b.s.Provider.Move = move
+		b.fleet.Remove("m1")
+		b.fleet.Add("m1", "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
