Tickets are requested for workers that may run the task

A step counted a ticket for a worker that its label or its limit per worker excluded as one that it could use, and asked for no other: the task waited for the end of the ticket's validity beside a free worker.

Only workers that the step's constraints permit count and are asked for, and a rejected ticket is discarded. A step without any candidate for a ticket now asks for additional workers like one without a policy.

--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -321,13 +321,11 @@
 func (pl *planner) allowed(step *stepState, t *task, w *workerState) bool {
 	spec := step.spec
 	switch {
-	case spec.Label != "" && !w.HasLabel(spec.Label):
+	case !step.permits(w):
 		return false
 	case t.runsOn(w):
 		// A speculative run on the same worker would be rejected.
 		return false
-	case spec.MaxPerWorker > 0 && w.perStep[step] >= spec.MaxPerWorker:
-		return false
 	case !step.tickets.allows(w, pl.now):
 		return false
 	case !step.occurrence.job.mayRunIn(w.DataCentre):
@@ -338,6 +336,12 @@
 	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn) || pl.now-t.readySince > maxRetryElsewhere
 }
 
+// permits reports whether the step's label and its limit per worker permit another task on the worker.
+func (st *stepState) permits(w *workerState) bool {
+	spec := st.spec
+	return (spec.Label == "" || w.HasLabel(spec.Label)) && (spec.MaxPerWorker == 0 || w.perStep[st] < spec.MaxPerWorker)
+}
+
 // maxRetryElsewhere is how long a task that failed waits for a worker on another instance.
 const maxRetryElsewhere = time.Second
 
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/provider"
+	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
@@ -817,3 +819,55 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// issueTickets gives queue p a policy that allows every worker; each request's tickets have the request's number.
+func (b *testbed) issueTickets() {
+	requests := 0
+	b.s.Config.QueueByName("p").Policy = &queue.PolicyTiming{TicketValidity: time.Minute}
+	b.s.Policy = &worker.PolicyClient{RequestTickets: func(_ context.Context, _ string, workers []string, _ time.Duration) ([]worker.Ticket, error) {
+		requests++
+		var tickets []worker.Ticket
+		for _, id := range workers {
+			tickets = append(tickets, worker.Ticket{Worker: id, Ticket: strconv.Itoa(requests)})
+		}
+		return tickets, nil
+	}}
+}
+
+// Guards against a task that waits for the end of a ticket's validity beside a worker that may run it: the only ticket is
+// for a worker that runs as many tasks of the step as it may.
+func TestTicketRequestedForEligibleWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		b.onLoop(b.issueTickets)
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 2, 20*time.Second)
+		job.Steps[0].MaxPerWorker = 1
+		b.submit(job, 20*time.Second)
+		time.Sleep(time.Second)
+		b.addInstance("m2")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.fleet.Starts, 2)
+	})
+}
+
+// Guards against a task that is ordered to start again and again with a ticket that the worker rejects.
+func TestRejectedTicketIsReplaced(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		b.onLoop(b.issueTickets)
+		inner := b.fleet.WorkerClient("leader").Start
+		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+			if o.Ticket == "1" {
+				return worker.Reply{Refusal: worker.NoTicket}, nil
+			}
+			return inner(ctx, to, o)
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -187,6 +187,9 @@
 	default:
 		s.abandonStart(r, string(reply.Refusal))
 		r.task.notBefore = now + failureBackoff
+		if reply.Refusal == worker.NoTicket {
+			delete(r.task.step.tickets.byWorker, w.ID)
+		}
 		if reply.Refusal == worker.NoCapacity {
 			s.avoid(w, "worker has less free capacity than recorded", noCapacityPause)
 		}
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -47,8 +47,8 @@
 
 func (st *stepTickets) forWorker(w *workerState) string { return st.byWorker[w.ID].ticket }
 
-// ensureTickets reports whether the step has no policy or has a valid ticket for some worker with enough capacity. It
-// requests further tickets if there are fewer such workers than waiting tasks.
+// ensureTickets reports whether the step has no policy or has a valid ticket for some worker with enough capacity that
+// its constraints permit. It requests further tickets if there are fewer such workers than waiting tasks.
 func (s *Scheduler) ensureTickets(step *stepState, pl *planner) bool {
 	q := step.occurrence.job.queue
 	if q == nil || q.Policy == nil || s.Policy == nil {
@@ -62,22 +62,28 @@
 	}
 	available := 0
 	for _, w := range pl.candidates.workers {
-		if st.allows(w, pl.now) && w.free().Holds(step.size()) {
+		if st.allows(w, pl.now) && step.permits(w) && w.free().Holds(step.size()) {
 			available++
 		}
 	}
-	if available < step.waiting && !st.requesting && pl.now-st.requestedAt >= ticketRequestInterval {
+	mayRequest := !st.requesting && pl.now-st.requestedAt >= ticketRequestInterval
+	if mayRequest && available < step.waiting {
 		s.requestTickets(step, pl)
 	}
+	if mayRequest && available == 0 && !st.requesting {
+		// No candidate is left that could get a ticket.
+		pl.missing.add(step, pl.workersFor(step, step.waiting))
+	}
 	return available > 0
 }
 
-// requestTickets requests tickets for workers with enough capacity that the policy hasn't denied.
+// requestTickets requests tickets for workers with enough capacity that the step's constraints permit and the policy
+// hasn't denied.
 func (s *Scheduler) requestTickets(step *stepState, pl *planner) {
 	st := &step.tickets
 	var ids []string
 	for _, w := range pl.candidates.workers {
-		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && w.free().Holds(step.size()) {
+		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && step.permits(w) && w.free().Holds(step.size()) {
 			ids = append(ids, w.ID)
 		}
 	}
