A row that the store rejects holds back only itself

A transaction that the store rejects as invalid, for example because one row exceeds the size limit of a row, was queued again as it was and at the front, in all partitions and for as long as the leader had its lease. No outcome, no progress and no worker of the roster was stored meanwhile: jobs stayed running for their callers, and new workers were not used. A single job with about 2,200 checkpointed tasks (64,914 bytes) has such a row at a limit of 64 KB.

After such a rejection the next transactions have half as many rows, until the rejected row is alone. It is written again after 2 s, and the others proceed. Its job's outcome is a small row and can be stored at its end.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -20,6 +20,8 @@
 	// guard, and 1 MB in base64.
 	maxBatchRows  = 96
 	maxBatchBytes = 400_000
+	// rejectedRetry is the delay before a row that the store rejects as invalid is written again.
+	rejectedRetry = 2 * time.Second
 	// A write times out after ledgerBaseTimeout plus ledgerLatencyFactor times the latency of the last write; the next
 	// partition is tried then.
 	ledgerBaseTimeout   = 350 * time.Millisecond
@@ -49,7 +51,10 @@
 	// urgent and normal hold the changed jobs in the order of their changes. Urgent ones are written without delay.
 	urgent, normal []*job
 	// extraRows holds other rows to write.
-	extraRows      []extraRow
+	extraRows []extraRow
+	// maxRows is the number of rows of the next transaction. It is lowered while the store rejects transactions as
+	// invalid, to find the row that causes that.
+	maxRows        int
 	writing        bool
 	flushScheduled bool
 	retryAt        time.Duration
@@ -69,6 +74,7 @@
 }
 
 func (l *ledgerWriter) init(s *Scheduler) {
+	l.maxRows = maxBatchRows
 	l.s, l.partitions, l.stale, l.inDoubt = s, ledger.LeaderPartitions(), make(map[string][]table.Condition), make(map[string]bool)
 }
 
@@ -177,20 +183,20 @@
 func (l *ledgerWriter) nextBatch() *ledgerBatch {
 	partition := l.partitions[l.current]
 	b := &ledgerBatch{partition: partition, txn: table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, l.s.guards[partition])}}}
-	for len(l.extraRows) > 0 && b.add(l.extraRows[0].write) {
+	for len(l.extraRows) > 0 && b.add(l.extraRows[0].write, l.maxRows) {
 		b.extraRows = append(b.extraRows, l.extraRows[0])
 		l.extraRows = l.extraRows[1:]
 	}
-	l.urgent = b.addJobs(l.urgent)
-	l.normal = b.addJobs(l.normal)
+	l.urgent = b.addJobs(l.urgent, l.maxRows)
+	l.normal = b.addJobs(l.normal, l.maxRows)
 	return b
 }
 
 // add adds a row, whose key must not name a partition, and returns false if the transaction has no room for it. The
 // first row always fits.
-func (b *ledgerBatch) add(w table.Write) bool {
+func (b *ledgerBatch) add(w table.Write, maxRows int) bool {
 	n := len(b.txn.Writes)
-	if n > 0 && (n >= maxBatchRows || b.bytes+len(w.Value) > maxBatchBytes) {
+	if n > 0 && (n >= maxRows || b.bytes+len(w.Value) > maxBatchBytes) {
 		return false
 	}
 	b.bytes += len(w.Value)
@@ -199,11 +205,11 @@
 }
 
 // addJobs adds jobs until the transaction is full and returns the remaining ones.
-func (b *ledgerBatch) addJobs(jobs []*job) []*job {
+func (b *ledgerBatch) addJobs(jobs []*job, maxRows int) []*job {
 	for len(jobs) > 0 {
 		j := jobs[0]
 		if j.dirty {
-			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: ledger.Encode(jobRecord(j))}) {
+			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: ledger.Encode(jobRecord(j))}, maxRows) {
 				break
 			}
 			j.dirty = false
@@ -253,6 +259,7 @@
 		return
 	}
 	l.failures = 0
+	l.maxRows = min(maxBatchRows, 2*l.maxRows)
 	now := l.s.Now()
 	for i, j := range b.jobs {
 		j.storedChange = max(j.storedChange, b.changes[i])
@@ -286,6 +293,26 @@
 
 // requeue queues the rows of a failed batch again, its jobs as urgent ones, and switches to the next partition.
 func (l *ledgerWriter) requeue(b *ledgerBatch, err error) {
+	rows := len(b.txn.Writes)
+	// The store rejects a transaction as invalid in each partition and at each retry, for example for a row that is too
+	// large, so the other rows must be written without that row.
+	invalid := fault.IsKind(err, fault.Internal)
+	if invalid {
+		l.maxRows = max(1, rows/2)
+	}
+	if invalid && rows == 1 {
+		l.s.after(rejectedRetry, func() {
+			l.queueAgain(b)
+			l.flush()
+		})
+	} else {
+		l.queueAgain(b)
+	}
+	l.switchPartition(b.partition, b.txn.Size(), err)
+}
+
+// queueAgain queues the rows of a failed batch.
+func (l *ledgerWriter) queueAgain(b *ledgerBatch) {
 	for _, j := range b.jobs {
 		if !j.dirty {
 			j.dirty = true
@@ -293,7 +320,6 @@
 		}
 	}
 	l.extraRows = append(b.extraRows, l.extraRows...)
-	l.switchPartition(b.partition, b.txn.Size(), err)
 }
 
 // switchPartition selects the next partition after a failed write.
--- a/keel/schedule/persist_test.go
+++ b/keel/schedule/persist_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
+	"samphirekeel.example/keel/work"
 )
 
 // rejectInvalid makes the store reject the transactions for which invalid returns true, as it rejects those that exceed
@@ -25,6 +27,43 @@
 	}
 }
 
+// Guards against a ledger that stores nothing any more because the store rejects one job's row, for example as too large.
+func TestRejectedRowHoldsOnlyItsJob(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.rejectInvalid(func(txn table.Txn) bool {
+			for _, w := range txn.Writes {
+				if w.Table == ledger.JobRecords && w.Name == firstJob {
+					return true
+				}
+			}
+			return false
+		})
+		const others = 30
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		for i := range others {
+			b.submit(singleStepJob(fmt.Sprintf("%016x", i), "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		completed := 0
+		b.onLoop(func() {
+			for i := range others {
+				state, _ := b.s.State(fmt.Sprintf("%016x", i))
+				if state == work.Completed {
+					completed++
+				}
+			}
+		})
+		assert.Equal(t, completed, others)
+		assert.Equal(t, b.state(), work.Running)
+		b.commit = nil
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
+
 // Guards against a transaction that the store rejects because its rows together exceed 1 MB.
 func TestLedgerTransactionSize(t *testing.T) {
 	withTestbed(t, func(b *testbed) {
