--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -72,7 +72,7 @@
 	}
 	if mayRequest && available == 0 && !st.requesting {
 		// No candidate is left that could get a ticket.
-		pl.missing.add(step, pl.workersFor(step, step.waiting))
+		pl.addMissing(step, step.waiting)
 	}
 	return available > 0
 }
