A pool whose workers are all avoided still runs tasks

A worker on which tasks of two jobs failed in a row, or a run stalled, gets no tasks for 2.5 to 20 s. In a small pool jobs whose tasks fail everywhere can put all workers there, and the others waited for up to 20 s beside free capacity. If no worker of the pool is usable, those that have been avoided for longer than another instance takes to join the pool are used. Before that the pool asks for an instance, as it did, so that a broken one doesn't use up the attempts of its jobs.

The time is kept apart from that of maintenance and rejections (avoidUntil), to which this doesn't apply.

TestAvoidedWorkersRunTasksWithoutAlternative failed before: the job was still queued 2 s after its submission, 5 s of avoidance.

--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -58,17 +58,26 @@
 	duration := min(avoidMax, avoidInitial<<min(w.failures.avoidances, 4))
 	w.failures.avoidances++
 	w.failures.jobs = nil
-	s.avoid(w, reason, duration)
+	now := s.Now()
+	if now >= w.failingUntil {
+		w.failingSince = now
+	}
+	s.extendAvoidance(w, &w.failingUntil, reason, duration)
 }
 
 // avoid keeps new tasks off a worker for a time.
 func (s *Scheduler) avoid(w *workerState, reason string, duration time.Duration) {
+	s.extendAvoidance(w, &w.avoidUntil, reason, duration)
+}
+
+// extendAvoidance extends one of the worker's times without new tasks until the end of the duration.
+func (s *Scheduler) extendAvoidance(w *workerState, end *time.Duration, reason string, duration time.Duration) {
 	until := s.Now() + duration
-	if until <= w.avoidUntil {
+	if until <= *end {
 		return
 	}
-	alreadyAvoided := s.Now() < w.avoidUntil
-	w.avoidUntil = until
+	alreadyAvoided := s.Now() < *end
+	*end = until
 	if alreadyAvoided {
 		return
 	}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -58,13 +58,12 @@
 	p.missing = pl.missing
 }
 
-// newPlanner returns a planner with the pool's usable workers as candidates.
+// newPlanner returns a planner with the usable workers of the pool as candidates, or those that are usable as a last resort.
 func (s *Scheduler) newPlanner(p *pool, now time.Duration) *planner {
 	pl := &planner{s: s, now: now, unfenced: make(map[string]*workerState)}
-	for w := range p.workers {
-		if s.usable(w, now) {
-			pl.candidates.add(w)
-		}
+	pl.addCandidates(p, s.usable)
+	if len(pl.candidates.workers) == 0 {
+		pl.addCandidates(p, s.usableAsLast)
 	}
 	for _, w := range s.unfenced {
 		last := pl.unfenced[w.DataCentre]
@@ -75,6 +74,15 @@
 	return pl
 }
 
+// addCandidates adds the pool's workers that may get tasks.
+func (pl *planner) addCandidates(p *pool, usable func(*workerState, time.Duration) bool) {
+	for w := range p.workers {
+		if usable(w, pl.now) {
+			pl.candidates.add(w)
+		}
+	}
+}
+
 func (pl *planner) placeJob(j *job) {
 	fenced := pl.unfencedWorkerFor(j) == nil
 	for _, o := range j.occurrences {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -871,3 +871,23 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a job that waits for up to 20 s beside free workers: all workers of the pool are avoided, because the
+// tasks of other jobs failed on them.
+func TestAvoidedWorkersRunTasksWithoutAlternative(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		b.onLoop(func() { b.s.Config.QueueByName("p").MaxAttempts = 1 })
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.SetBehaviour("m1", emulator.Behaviour{Fails: true})
+		for _, id := range []string{"00000000000000a2", "00000000000000a3", "00000000000000a4", "00000000000000a5"} {
+			b.submit(singleStepJob(id, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+			time.Sleep(1400 * time.Millisecond)
+		}
+		b.fleet.SetBehaviour("m1", emulator.Behaviour{})
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -52,10 +52,12 @@
 	removed bool
 	// unresponsiveSince is when the worker stopped responding, 0 while it responds.
 	unresponsiveSince time.Duration
-	// avoidUntil is the time until which the worker gets no tasks, because its tasks fail or stall or its maintenance
-	// is due.
+	// avoidUntil is the time until which the worker gets no tasks, because it rejected one or its maintenance is due.
 	avoidUntil time.Duration
-	failures   failureHistory
+	// failingUntil is the time until which the worker gets no tasks, because they fail or stall on it, failingSince the
+	// beginning of that.
+	failingSince, failingUntil time.Duration
+	failures                   failureHistory
 	// reclaimedUntil is the time until which the worker gets no tasks, because its instance is wanted in another pool.
 	reclaimedUntil time.Duration
 
@@ -301,6 +303,17 @@
 
 // healthy reports whether the worker may get tasks, apart from being reclaimed.
 func (s *Scheduler) healthy(w *workerState, now time.Duration) bool {
+	return now >= w.failingUntil && s.available(w, now)
+}
+
+// usableAsLast reports whether the worker may get tasks if no worker of its pool is usable: tasks fail or stall on it, but
+// for so long that another instance could have joined the pool.
+func (s *Scheduler) usableAsLast(w *workerState, now time.Duration) bool {
+	return now-w.failingSince > s.Bounds.MoveTime+workerStartDelay && now >= w.reclaimedUntil && s.available(w, now)
+}
+
+// available reports whether the worker may get tasks, apart from being reclaimed and from failures on it.
+func (s *Scheduler) available(w *workerState, now time.Duration) bool {
 	return w.registered && w.fenced && w.rostered && !w.removed && !w.Draining && !w.orderPending && w.unresponsiveSince == 0 &&
 		len(w.orphans) == 0 && now >= w.avoidUntil
 }
