A start rejected for a later run asks for the worker's list

A worker rejects a start if it has, or had, a run of the task with a higher number. The task was then ordered again in the next placement pass, a few milliseconds later, for as long as the worker's runs weren't listed, which an idle worker does every 20 s. The rejection now delays the task by failureBackoff and asks for the list at once.

TestSupersededStartShowsTheLaterRun failed before: 202 start orders in 2 s, 3 allowed.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -891,3 +891,28 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a task that is ordered to start again and again on a worker that already has a later run of it: an idle
+// worker lists its runs only every 20 s.
+func TestSupersededStartShowsTheLaterRun(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		inner := b.fleet.WorkerClient("leader").Start
+		first := true
+		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+			if first {
+				first = false
+				o.Run += 100000
+				_, err := inner(ctx, to, o)
+				return worker.Reply{Refusal: worker.Superseded}, err
+			}
+			return inner(ctx, to, o)
+		}
+		b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Assert(t, b.fleet.Starts <= 3, "%d start orders", b.fleet.Starts)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -179,8 +179,10 @@
 	case worker.OtherBoot:
 		s.removeWorker(w, "another worker responds at its address")
 	case worker.Superseded:
-		// The worker may know a run with a higher number from an earlier leader.
+		// The worker may know a run with a higher number from an earlier leader, which its list shows.
 		s.abandonStart(r, string(reply.Refusal))
+		r.task.notBefore = now + failureBackoff
+		s.scheduleRenewal(w, 0)
 	case worker.Unhealthy:
 		s.abandonStart(r, string(reply.Refusal))
 		s.avoid(w, "worker reported itself unhealthy", unhealthyPause)
