A wave waits for an instance that a single list lacks

A wave was reported as completed as soon as each of its listed instances had begun its maintenance. One that a single list lacked, because instances came or went between the requests for the list's pages, was left out for good.

TestWaveWaitsForInstanceThatOneListLacks failed before: the wave completed without its only instance.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -45,8 +45,12 @@
 
 // fleetState is the state of the instances and of the orders that were given to them.
 type fleetState struct {
-	instances      map[string]provider.Instance
-	listedAt       time.Duration
+	instances map[string]provider.Instance
+	listedAt  time.Duration
+	// lists is the number of instance lists that were applied; lastList holds, by instance, the number of the last one
+	// that has it.
+	lists          int64
+	lastList       map[string]int64
 	listing        bool
 	rebalancedAt   time.Duration
 	demandLoggedAt time.Duration
@@ -80,6 +84,7 @@
 	f.instances = make(map[string]provider.Instance)
 	f.unknownSince = make(map[string]time.Duration)
 	f.registeredAt = make(map[string]time.Duration)
+	f.lastList = make(map[string]int64)
 	f.incoming = make(map[string]incomingInstance)
 	f.unsuitable = make(map[string]map[string]bool)
 	f.lastOrder = make(map[string]time.Duration)
@@ -126,8 +131,10 @@
 	s.fleet.listedAt = s.Now()
 	previous := s.fleet.instances
 	s.fleet.instances = make(map[string]provider.Instance, len(all))
+	s.fleet.lists++
 	for _, i := range all {
 		s.fleet.instances[i.ID] = i
+		s.fleet.lastList[i.ID] = s.fleet.lists
 		s.checkReachedSparePool(i)
 		w := s.workers[i.Worker]
 		if w != nil {
@@ -200,6 +207,10 @@
 	}
 }
 
+// isGone reports whether two instance lists in a row lack the instance. One may lack it because instances came or went
+// between the requests for its pages.
+func (f *fleetState) isGone(instance string) bool { return f.lists-f.lastList[instance] >= 2 }
+
 // mayOrder reports whether the instance may get an order now. Orders wait for the end of the previous holder's lease,
 // and each purpose may use only its share of the rate limit.
 func (s *Scheduler) mayOrder(instance string, rateShare float64, now time.Duration) bool {
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -916,3 +916,29 @@
 		assert.Assert(t, b.fleet.Starts <= 3, "%d start orders", b.fleet.Starts)
 	})
 }
+
+// Guards against a wave that is reported as completed without one of its instances, which a single instance list lacks.
+func TestWaveWaitsForInstanceThatOneListLacks(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 5*time.Second), 5*time.Second)
+		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 30, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		list := b.s.Provider.List
+		lacks := true
+		b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
+			page, err := list(ctx, token)
+			if lacks {
+				lacks = false
+				page.Instances = nil
+			}
+			return page, err
+		}
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		time.Sleep(15 * time.Second)
+		done, wanted := b.checker.WaveProgress(1)
+		assert.Equal(t, done, wanted)
+	})
+}
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -215,6 +215,13 @@
 	return ids
 }
 
+// allStarted reports whether the maintenance of all instances has started that aren't gone.
+func (w *wave) allStarted(s *Scheduler) bool {
+	return !slices.ContainsFunc(w.Instances, func(id string) bool {
+		return !slices.Contains(w.progress.Started, id) && !s.fleet.isGone(id)
+	})
+}
+
 // evictionWeight returns the number of runs on the instance; runs of long-running tasks count more because evicting
 // them takes longer.
 func (s *Scheduler) evictionWeight(instance string) int {
@@ -321,7 +328,11 @@
 	s.ledger.writeRow(waveProgressWrite(w.Number, progress), nil)
 }
 
+// completeWave completes the wave, unless an instance that isn't listed may come back.
 func (s *Scheduler) completeWave(w *wave, now time.Duration) {
+	if !w.allStarted(s) {
+		return
+	}
 	w.completed = true
 	w.progress.Completed = true
 	s.storeWaveProgress(w)
