A leader without a configuration doesn't end with a panic

Waves are read from the same table as the configuration, but a configuration that can't be read is left out. A leader that knew a wave and no configuration looked up the instance's pool in it and ended with a nil dereference; the next one did the same. Waves now wait for the configuration, as the demand of pools does.

TestWaveWithoutConfiguration failed before with that panic.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -942,3 +942,23 @@
 		assert.Equal(t, done, wanted)
 	})
 }
+
+// Guards against a leader that ends with a panic because it knows a wave but no configuration, whose row it can't read.
+func TestWaveWithoutConfiguration(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.fleet.Add("m1", "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+		b.startEpoch(1, "p")
+		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 30, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		var config *queue.Config
+		b.onLoop(func() {
+			config, b.s.Config = b.s.Config, nil
+			b.s.SetWaves([]provider.Wave{wave})
+		})
+		time.Sleep(time.Second)
+		b.onLoop(func() { b.s.SetConfig(config) })
+		time.Sleep(3 * time.Second)
+		done, wanted := b.checker.WaveProgress(1)
+		assert.Equal(t, done, wanted)
+	})
+}
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -92,7 +92,7 @@
 
 // advanceWaves continues all waves that are not completed.
 func (s *Scheduler) advanceWaves(now time.Duration) {
-	if s.Provider == nil || s.fleet.listedAt == 0 {
+	if s.Provider == nil || s.Config == nil || s.fleet.listedAt == 0 {
 		return
 	}
 	for _, w := range s.sortedWaves() {
