The emulator takes workers away for good and makes the instance service unavailable

The emulator had only the last: its workers crashed and came back or left with their registration, and the list of instances always told the truth.

Change: instances vanish while their registration and their place in the list stay for a while; a worker of another pool gets the address of one that vanished; workers can't be reached while the list shows them as up, with or without heartbeats; the instance service doesn't respond, or its list is stale.

--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -88,9 +88,12 @@
 	Kind string   `json:"kind"`
 	// Target names an entry, a data centre, a rack, a kind of store outage with its scope, or an instance; leader is
 	// the current leader.
-	Target     string  `json:"who"`
-	Share      float64 `json:"share"`
-	SlowFactor int     `json:"slow"`
+	Target string  `json:"who"`
+	Share  float64 `json:"share"`
+	// Listed is the time for which the instance list still shows instances that vanish; For is the time for which their
+	// registrations stay.
+	Listed     duration `json:"listed"`
+	SlowFactor int      `json:"slow"`
 }
 
 func TestDays(t *testing.T) {
@@ -399,6 +402,12 @@
 		"late":               p.lateOrders,
 		"late_registrations": func(*dayFault, string, time.Duration) { p.fleet.RegisterLate(p.fleet.Instances()...) },
 		"drain":              p.drain,
+		"vanish":             p.vanish,
+		"reuse":              p.reuse,
+		"unreachable":        p.partitionWorkers,
+		"partitioned":        p.partitionWorkers,
+		"instance_service":   p.instanceServiceOutage,
+		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
 		"wave": func(f *dayFault, _ string, length time.Duration) {
 			p.putWave(1, p.instances(f), length.Seconds(), 4)
@@ -462,6 +471,44 @@
 	}
 }
 
+// vanish takes instances away for good.
+func (p *dayRun) vanish(f *dayFault, _ string, length time.Duration) {
+	for _, id := range p.instances(f) {
+		p.fleet.Vanish(id, length, time.Duration(f.Listed))
+	}
+}
+
+// reuse takes instances away for good; the worker of a new instance of the first pool gets the address of each one's
+// worker at once.
+func (p *dayRun) reuse(f *dayFault, _ string, length time.Duration) {
+	for _, id := range p.instances(f) {
+		p.fleet.Vanish(id, length, time.Duration(f.Listed))
+		p.fleet.ReuseAddress(id, "n-"+id, p.pools[0].Name)
+	}
+}
+
+// partitionWorkers makes workers unreachable for the duration of the fault; with kind partitioned their heartbeats don't
+// reach the store either.
+func (p *dayRun) partitionWorkers(f *dayFault, _ string, length time.Duration) {
+	ids := p.instances(f)
+	p.fleet.SetUnreachable(true, ids...)
+	p.fleet.SetSilent(f.Kind == "partitioned", ids...)
+	time.Sleep(length)
+	p.fleet.SetUnreachable(false, ids...)
+	p.fleet.SetSilent(false, ids...)
+}
+
+// instanceServiceOutage makes the instance service unavailable or its list stale for the duration of the fault.
+func (p *dayRun) instanceServiceOutage(f *dayFault, _ string, length time.Duration) {
+	set := p.fleet.SetServiceUnavailable
+	if f.Kind == "stale_list" {
+		set = p.fleet.SetListStale
+	}
+	set(true)
+	time.Sleep(length)
+	set(false)
+}
+
 // restart ends an entry and starts it again after the delay, at least 3 s.
 func (p *dayRun) restart(name string, after time.Duration, end func(string)) {
 	e := p.entry(name)
--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -33,6 +33,8 @@
 	worker               *Worker
 	// previous is the last worker that ended on the instance, nil if there was none.
 	previous *Worker
+	// vanished is set once the instance is gone for good; the list may still have it.
+	vanished bool
 	// highestToken is the highest fencing token of the orders to the instance.
 	highestToken int64
 }
@@ -62,6 +64,10 @@
 	// recentOrders holds the times of the orders to instances in the last second.
 	recentOrders []time.Time
 	stopped      bool
+	// serviceUnavailable makes calls to the instance service get no response.
+	serviceUnavailable bool
+	// staleList is the list that the instance service returns in place of the current one, nil if it isn't stale.
+	staleList *provider.Page
 	// Renewals counts lease renewals at workers, Starts start orders to workers, and InstanceOrders all orders to
 	// instances.
 	Renewals, Starts, InstanceOrders int
@@ -86,8 +92,11 @@
 	f.startWorkerLocked(inst)
 }
 
-// startWorkerLocked sets the instance to up and starts a new worker on it unless it is in the spare pool.
+// startWorkerLocked sets the instance to up and starts a new worker on it unless it is in the spare pool or gone.
 func (f *Fleet) startWorkerLocked(inst *instance) {
+	if inst.vanished {
+		return
+	}
 	inst.state = provider.Up
 	if inst.pool == f.SparePool {
 		return
@@ -215,7 +224,9 @@
 func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.endWorkerLocked(f.instances[id], true)
+	inst := f.instances[id]
+	inst.vanished = true
+	f.endWorkerLocked(inst, true)
 	delete(f.instances, id)
 }
 
--- a/keel/emulator/instanceclient.go
+++ b/keel/emulator/instanceclient.go
@@ -15,12 +15,35 @@
 	return &provider.Client{List: f.list, Move: f.move, Maintain: f.maintain}
 }
 
+// errServiceUnavailable is the error of a call that the instance service doesn't respond to; it had no effect.
+var errServiceUnavailable = fault.New(fault.PlatformUnavailable, "emulated response after the deadline").WithOutcome(fault.NotRun)
+
+// waitForService waits for the instance service and returns false if it doesn't respond before the deadline.
+func (f *Fleet) waitForService(ctx context.Context) bool {
+	f.mu.Lock()
+	unavailable := f.serviceUnavailable
+	f.mu.Unlock()
+	if unavailable {
+		<-ctx.Done()
+		return false
+	}
+	return sleep(ctx, responseTime)
+}
+
 func (f *Fleet) list(ctx context.Context, _ string) (provider.Page, error) {
-	if !sleep(ctx, responseTime) {
-		return provider.Page{}, fault.New(fault.PlatformUnavailable, "emulated response after the deadline").WithOutcome(fault.NotRun)
+	if !f.waitForService(ctx) {
+		return provider.Page{}, errServiceUnavailable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.staleList != nil {
+		return *f.staleList, nil
+	}
+	return f.pageLocked(), nil
+}
+
+// pageLocked returns the current list of instances.
+func (f *Fleet) pageLocked() provider.Page {
 	var page provider.Page
 	for _, inst := range f.instances {
 		i := provider.Instance{ID: inst.id, Pool: inst.pool, State: inst.state, DataCentre: inst.dataCentre, Labels: []string{inst.rack}, Rack: inst.rack, Capacity: inst.capacity}
@@ -30,7 +53,7 @@
 		page.Instances = append(page.Instances, i)
 	}
 	slices.SortFunc(page.Instances, func(a, b provider.Instance) int { return strings.Compare(a.ID, b.ID) })
-	return page, nil
+	return page
 }
 
 // admitOrderLocked checks the rate limit and the fencing token of an order to an instance.
@@ -53,8 +76,8 @@
 }
 
 func (f *Fleet) move(ctx context.Context, id, pool string, fence provider.Fence) (provider.Refusal, error) {
-	if !sleep(ctx, responseTime) {
-		return provider.Accepted, fault.New(fault.PlatformUnavailable, "emulated response after the deadline").WithOutcome(fault.NotRun)
+	if !f.waitForService(ctx) {
+		return provider.Accepted, errServiceUnavailable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,6 +85,8 @@
 	switch {
 	case refusal != provider.Accepted:
 		return refusal, nil
+	case inst.vanished:
+		return provider.Busy, nil
 	case inst.pool == pool:
 		return provider.Accepted, nil
 	case inst.state != provider.Up:
@@ -86,8 +111,8 @@
 }
 
 func (f *Fleet) maintain(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
-	if !sleep(ctx, responseTime) {
-		return provider.Accepted, fault.New(fault.PlatformUnavailable, "emulated response after the deadline").WithOutcome(fault.NotRun)
+	if !f.waitForService(ctx) {
+		return provider.Accepted, errServiceUnavailable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,6 +121,8 @@
 	switch {
 	case refusal != provider.Accepted:
 		return refusal, nil
+	case inst.vanished:
+		return provider.Busy, nil
 	case w == nil || !slices.Contains(w.Instances, id):
 		return provider.OtherWave, nil
 	case w.maintained[id]:
--- a/keel/emulator/stall.go
+++ b/keel/emulator/stall.go
@@ -226,7 +226,7 @@
 }
 
 func (w *Worker) isUsable() bool {
-	if w.ended || w.draining || w.unresponsive || w.behaviour != (Behaviour{}) {
+	if w.ended || w.draining || w.unreachable || w.silent || w.behaviour != (Behaviour{}) {
 		return false
 	}
 	for _, dataCentres := range w.fleet.partitioned {
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -27,16 +27,17 @@
 
 // Worker is an emulated worker, one boot of an instance in one pool; its fields are guarded by the fleet's mutex.
 type Worker struct {
-	fleet        *Fleet
-	instance     *instance
-	id           string
-	address      string
-	pool         string
-	behaviour    Behaviour
-	draining     bool
-	unresponsive bool
-	ended        bool
-	sequence     uint64
+	fleet     *Fleet
+	instance  *instance
+	id        string
+	address   string
+	pool      string
+	behaviour Behaviour
+	draining  bool
+	// unreachable makes calls to the worker get no response, and silent stops its heartbeats.
+	unreachable, silent bool
+	ended               bool
+	sequence            uint64
 	// executesLate is set while an order is carried out that was delayed by the fleet's lateShare.
 	executesLate bool
 
@@ -115,7 +116,7 @@
 		time.Sleep(w.fleet.Times.Heartbeat)
 		w.fleet.mu.Lock()
 		ended := w.ended
-		if !ended && !w.unresponsive && !w.fleet.partitioned[storeCaller][w.instance.dataCentre] {
+		if !ended && !w.silent && !w.fleet.partitioned[storeCaller][w.instance.dataCentre] {
 			w.register()
 		}
 		w.fleet.mu.Unlock()
@@ -270,12 +271,12 @@
 }
 
 // renew renews the lease and returns the worker's status, with a channel that is closed when the status changes; it
-// returns false if the worker has ended.
+// returns false if the worker has ended or can't be reached.
 func (w *Worker) renew(o worker.RenewOrder) (worker.Status, chan struct{}, bool) {
 	f := w.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w.ended {
+	if w.ended || w.unreachable {
 		return worker.Status{}, nil, false
 	}
 	f.Renewals++
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -35,7 +35,7 @@
 func (f *Fleet) reach(ctx context.Context, caller string, to worker.Target) (*Worker, error) {
 	f.mu.Lock()
 	w := f.workers[to.Address]
-	unreachable := w == nil || w.ended || w.unresponsive || f.partitioned[caller][w.instance.dataCentre]
+	unreachable := w == nil || w.ended || w.unreachable || f.partitioned[caller][w.instance.dataCentre]
 	f.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
@@ -75,7 +75,7 @@
 	reply, ok := f.execute(w, handle)
 	if !ok {
 		<-ctx.Done()
-		return worker.Reply{}, errWorkerEnded
+		return worker.Reply{}, errNoResponse
 	}
 	if !sleep(ctx, orderLatency) {
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
@@ -95,8 +95,8 @@
 	return f.random.Float64()
 }
 
-// errWorkerEnded is the error of a call whose worker ends before it responds.
-var errWorkerEnded = fault.New(fault.EndpointFailed, "emulated worker ended before its response").WithOutcome(fault.Unknown)
+// errNoResponse is the error of a call whose worker ends, or can't be reached any more, before it responds.
+var errNoResponse = fault.New(fault.EndpointFailed, "emulated worker gone before its response").WithOutcome(fault.Unknown)
 
 // execute carries out an order at a worker; it returns false if the worker has ended.
 func (f *Fleet) execute(w *Worker, handle func(*Worker) worker.Reply) (worker.Reply, bool) {
@@ -122,7 +122,7 @@
 		status, changed, ok := w.renew(o)
 		if !ok {
 			<-ctx.Done()
-			return worker.Status{}, errWorkerEnded
+			return worker.Status{}, errNoResponse
 		}
 		if status.Refusal != worker.Accepted || len(status.Ended) > 0 || !time.Now().Before(deadline) {
 			if !sleep(ctx, orderLatency) {
