The limit on orders in flight keeps a busy leader at work

The first form of the limit counted the time that a reply waits for the control loop as lateness.

The time of an order is now measured without the loop. The timeout of an order follows the average latency, from 220 ms to 1 s, so that orders that are only slow don't end in doubt, and at least 384 starts may be in flight. A pass that the limit has ended is followed by the next one once half of the orders have ended, since a pass ranks all waiting jobs. The new event orders_in_flight shows limits, latencies and the stops held back.

--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -46,6 +46,7 @@
 	ReadinessChanged
 	LeaseValidityChanged
 	TasksWaiting
+	OrdersInFlight
 )
 
 var scheduleEvents = []Definition{
@@ -90,5 +91,6 @@
 	{CallUnanswered, "call_unanswered", logrus.WarnLevel, "a query for a job or a queue fails or exceeds the caller's timeout", []string{"job", "call", "kind", "reason", "leader"}},
 	{LeaseValidityChanged, "lease_validity_changed", logrus.WarnLevel, "the leader's lease has expired, so that it sends no orders, or is valid again", []string{"epoch", "valid"}},
 	{TasksWaiting, "tasks_waiting", logrus.InfoLevel, "tasks of a pool should run and have had no run for 2 s, by cause, with the task that has waited longest, the worker that holds it and the time until the wait ends by itself (0 if it doesn't); the cause none means that a worker has room for the task", []string{"pool", "cause", "tasks", "long_running", "task", "waited_ms", "worker", "ends_in_ms"}},
+	{OrdersInFlight, "orders_in_flight", logrus.InfoLevel, "the orders to start and to stop runs in flight, their limits and average latencies are logged periodically; a start over the limit waits for the next placement pass, a stop is held", []string{"starts", "start_limit", "stops", "stop_limit", "stops_held", "start_ms", "stop_ms", "passes"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -63,6 +63,10 @@
 		return
 	}
 	s.fleet.demandLoggedAt = now
+	s.Log.Write(event.OrdersInFlight, event.Fields{
+		"starts": s.starts.inFlight, "start_limit": s.starts.limit, "stops": s.stops.inFlight, "stop_limit": s.stops.limit,
+		"stops_held": len(s.stops.waiting), "start_ms": s.starts.latency.Milliseconds(), "stop_ms": s.stops.latency.Milliseconds(), "passes": s.passes,
+	})
 	for _, d := range demands {
 		waiting := 0
 		for j := range d.pool.jobs {
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -17,6 +17,14 @@
 	}
 	now := s.Now()
 	s.lastPlan = now
+	if s.starts.mayPlan() {
+		s.planPools(now)
+	}
+	s.rebalance(now)
+}
+
+// planPools runs a placement pass over all pools.
+func (s *Scheduler) planPools(now time.Duration) {
 	s.passes++
 	s.starts.held = false
 	names := slices.Sorted(maps.Keys(s.pools))
@@ -24,7 +32,6 @@
 		// Each pass begins with another pool, so that the limit on the starts in flight doesn't favour one.
 		s.planPool(s.pools[names[(i+s.passes)%len(names)]], now)
 	}
-	s.rebalance(now)
 }
 
 // planner places the tasks of one pool in one pass.
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// orderTimeout is the timeout of an order to a worker, which usually responds within a few milliseconds.
+	// orderTimeout is the lowest timeout of an order to a worker, which usually responds within a few milliseconds.
 	orderTimeout = 220 * time.Millisecond
 	// stopRetry is the delay before a failed stop order is sent again.
 	stopRetry = 150 * time.Millisecond
@@ -130,20 +130,20 @@
 func (s *Scheduler) sendStart(r *run, order worker.StartOrder) {
 	target := r.worker.target()
 	s.starts.add()
-	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
+	call(s, s.starts.timeout(), func(ctx context.Context) (timed, error) {
 		if !s.LeaseValid() {
-			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
+			return timed{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
 		}
-		return s.Workers.Start(ctx, target, order)
-	}, func(reply worker.Reply, err error) {
-		s.starts.remove(s.Now()-r.ordered, err)
-		if s.starts.passDue() {
+		return s.timeOrder(func() (worker.Reply, error) { return s.Workers.Start(ctx, target, order) })
+	}, func(reply timed, err error) {
+		s.starts.remove(reply.took, err)
+		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
 		if r.worker.runs[r.task.id()] != r {
 			return
 		}
-		s.handleStartReply(r, reply, err)
+		s.handleStartReply(r, reply.Reply, err)
 	})
 }
 
@@ -258,15 +258,14 @@
 // callStop sends an order to stop a run, which counts as one in flight until it has ended.
 func (s *Scheduler) callStop(target worker.Target, order worker.StopOrder, done func(worker.Reply, error)) {
 	s.stops.add()
-	sent := s.Now()
-	call(s, orderTimeout, func(ctx context.Context) (worker.Reply, error) {
+	call(s, s.stops.timeout(), func(ctx context.Context) (timed, error) {
 		if !s.LeaseValid() {
-			return worker.Reply{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
+			return timed{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
 		}
-		return s.Workers.Stop(ctx, target, order)
-	}, func(reply worker.Reply, err error) {
-		s.stops.remove(s.Now()-sent, err)
-		done(reply, err)
+		return s.timeOrder(func() (worker.Reply, error) { return s.Workers.Stop(ctx, target, order) })
+	}, func(reply timed, err error) {
+		s.stops.remove(reply.took, err)
+		done(reply.Reply, err)
 		s.stops.sendWaiting()
 	})
 }
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -113,7 +113,7 @@
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
-	s.starts.limit, s.stops.limit = initialOrderLimit, initialOrderLimit
+	s.starts, s.stops = newOrderWindow(initialStartLimit, minStartLimit), newOrderWindow(initialStopLimit, minStopLimit)
 	s.fleet.init()
 	s.waves.init()
 	s.outages.init()
--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -4,25 +4,38 @@
 	"time"
 
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/worker"
 )
 
 const (
-	// initialOrderLimit, minOrderLimit and maxOrderLimit are the first, the lowest and the highest limit of a window.
-	initialOrderLimit = 128
-	minOrderLimit     = 32
-	maxOrderLimit     = 2048
-	// lateOrder is the time after which the reply to an order counts as late.
+	// initialStartLimit and minStartLimit are the first and the lowest limit on the starts in flight. A leader that is
+	// itself short of processor time needs many in flight, since its replies wait for the control loop.
+	initialStartLimit = 384
+	minStartLimit     = 384
+	// initialStopLimit and minStopLimit are the same for stops, which are sent again when they fail.
+	initialStopLimit = 128
+	minStopLimit     = 32
+	maxOrderLimit    = 4096
+	// lateOrder is the time after which the reply to an order counts as late. It is measured without the time that the
+	// reply waits for the control loop.
 	lateOrder = orderTimeout / 2
+	// The timeout of an order is orderTimeout or latencyFactor times the average latency, up to maxOrderTimeout.
+	latencyFactor   = 4
+	maxOrderTimeout = time.Second
+	// latencyWeight is the weight of an order in the moving average of the latency.
+	latencyWeight = 1.0 / 64
 )
 
 // orderWindow limits the orders of one kind in flight to what the leader, its relays and the workers handle in time. An
 // order that times out may have been carried out: a start is then followed by a stop, and a stop is repeated, so that
 // without a limit a backlog of orders keeps itself from being handled.
 type orderWindow struct {
-	limit, inFlight int
-	// replies counts the orders that ended since the last adjustment, late those of them that took longer than lateOrder
+	limit, minimum, inFlight int
+	// ended counts the orders that ended since the last adjustment, late those of them that took longer than lateOrder
 	// or found no goroutine to send them.
-	replies, late int
+	ended, late int
+	// latency is the moving average of the time that an order takes.
+	latency time.Duration
 	// limited is set once the limit has held back an order since the last adjustment, held once it has done so in the
 	// last placement pass.
 	limited, held bool
@@ -30,6 +43,10 @@
 	waiting []func()
 }
 
+func newOrderWindow(limit, minimum int) orderWindow {
+	return orderWindow{limit: limit, minimum: minimum}
+}
+
 // open reports whether another order may be sent. The starts of a gang are sent together and may exceed the limit.
 func (w *orderWindow) open() bool {
 	if w.inFlight < w.limit {
@@ -45,15 +62,21 @@
 // remove counts the end of an order that took the given time.
 func (w *orderWindow) remove(took time.Duration, err error) {
 	w.inFlight--
-	w.replies++
+	w.ended++
+	w.latency += time.Duration(latencyWeight * float64(took-w.latency))
 	if took > lateOrder || fault.IsKind(err, fault.Overloaded) {
 		w.late++
 	}
 }
 
-// passDue reports whether another placement pass is due, because the limit held back starts and enough orders have
-// ended since.
-func (w *orderWindow) passDue() bool { return w.held && 4*w.inFlight <= 3*w.limit }
+// timeout returns the timeout of an order, which grows while all orders take long.
+func (w *orderWindow) timeout() time.Duration {
+	return min(maxOrderTimeout, max(orderTimeout, latencyFactor*w.latency))
+}
+
+// mayPlan reports whether a placement pass can send enough starts to be worth its cost: a pass that the limit has ended
+// is followed by the next one once half of the orders have ended.
+func (w *orderWindow) mayPlan() bool { return !w.held || 2*w.inFlight <= w.limit }
 
 // do calls send, which sends an order, once the limit permits that.
 func (w *orderWindow) do(send func()) {
@@ -70,14 +93,27 @@
 	}
 }
 
-// adjust adapts the limit to the replies since the last adjustment.
+// adjust adapts the limit to the share of late orders since the last adjustment.
 func (w *orderWindow) adjust() {
 	switch {
-	case 2*w.late > w.replies:
-		w.limit = max(minOrderLimit, w.limit*3/4)
-	case w.limited && 8*w.late <= w.replies:
+	case 2*w.late > w.ended:
+		w.limit = max(w.minimum, w.limit*3/4)
+	case w.limited && 8*w.late <= w.ended:
 		w.limit = min(maxOrderLimit, w.limit+w.limit/8)
 	}
-	w.replies, w.late, w.limited = 0, 0, false
+	w.ended, w.late, w.limited = 0, 0, false
 	w.sendWaiting()
 }
+
+// timed is the result of an order with the time that it took.
+type timed struct {
+	worker.Reply
+	took time.Duration
+}
+
+// timeOrder sends an order and measures the time that it takes.
+func (s *Scheduler) timeOrder(send func() (worker.Reply, error)) (timed, error) {
+	sent := s.Now()
+	reply, err := send()
+	return timed{reply, s.Now() - sent}, err
+}
