--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -431,10 +432,13 @@
 // other kinds affect workers, instances or the configuration and excuse no wait.
 var disturbsEntries = map[string]bool{"kill": true, "stop": true, "kill_all": true, "cut": true, "store": true, "forget": true}
 
+// killAll kills all entries and returns when they have been started again.
 func (p *dayRun) killAll(_ *dayFault, _ string, length time.Duration) {
+	var restarts sync.WaitGroup
 	for _, name := range p.entryNames() {
-		p.group.Go(func() { p.restart(name, length, p.kill) })
+		restarts.Go(func() { p.restart(name, length, p.kill) })
 	}
+	restarts.Wait()
 }
 
 // partitionDataCentre partitions a data centre for the duration of the fault; target leader means the leader's data
