Calls to an unreachable peer wait together

Calls to an address without an open link took turns to connect to it, each with the full timeout, and their own context didn't end the wait. While the leader was cut off or switched off and its name still stood in the lease, requests for states, cancels and pending counts queued behind each other on each entry: the n-th waited n times 350 ms, beyond its caller's timeout, before it could fall back to the store, and the goroutines of the callers that had left went on.

Concurrent calls now share one attempt to connect and all end with it, and a call that ends first no longer waits for it; it has certainly not been sent.

TestCallsToUnreachablePeerWaitTogether failed before: 19 of 20 calls waited for the lock of the first one (the fake clock stands still in that state, so the test ended by its timeout).

--- a/keel/peer/link.go
+++ b/keel/peer/link.go
@@ -21,25 +21,64 @@
 	return l
 }
 
-// connect returns the open connection to the address, and opens one if there is none.
+// opening is one attempt to open a link; conn and err are set once done is closed.
+type opening struct {
+	done chan struct{}
+	conn *jsonrpc2.Conn
+	err  error
+}
+
+// connect returns the open connection to the address. If there is none it waits, until ctx ends, for an attempt to open
+// one, which concurrent calls share.
 func (n *Node) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	n.mu.Lock()
 	l := n.linkLocked(address)
 	n.mu.Unlock()
-	l.openMu.Lock()
-	defer l.openMu.Unlock()
 	conn := n.currentConn(address, l)
 	if conn != nil {
 		return conn, nil
 	}
+	attempt := n.open(ctx, address, l)
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, fault.Wrap(fault.NotReady, ctx.Err(), "connect to peer %s", address)
+	}
+}
+
+// open returns the attempt in progress to open the link, and starts one if there is none.
+func (n *Node) open(ctx context.Context, address string, l *link) *opening {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l.opening != nil {
+		return l.opening
+	}
+	attempt := &opening{done: make(chan struct{}), conn: l.conn}
+	if l.conn != nil {
+		// Another call has opened the link meanwhile.
+		close(attempt.done)
+		return attempt
+	}
+	l.opening = attempt
+	go func() {
+		attempt.conn, attempt.err = n.dial(context.WithoutCancel(ctx), address, l)
+		close(attempt.done)
+	}()
+	return attempt
+}
+
+// dial opens the link, which ends the attempt in progress.
+func (n *Node) dial(ctx context.Context, address string, l *link) (*jsonrpc2.Conn, error) {
 	raw, err := n.Dial(address, n.Timeout)
 	if err != nil {
 		n.recordFailure(l)
 		return nil, fault.Wrap(fault.NotReady, err, "connect to peer %s", address)
 	}
-	conn = n.newConn(context.WithoutCancel(ctx), raw)
+	conn := n.newConn(ctx, raw)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	l.opening = nil
 	if n.links[address] != l {
 		_ = conn.Close()
 		return nil, fault.New(fault.NotReady, "link to peer %s closed while it was being opened", address)
@@ -67,10 +106,12 @@
 	}
 }
 
-// recordFailure doubles the number of heartbeat rounds until the next attempt to connect, up to maxBackoffRounds.
+// recordFailure ends a failed attempt to connect and doubles the number of heartbeat rounds until the next one, up to
+// maxBackoffRounds.
 func (n *Node) recordFailure(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	l.opening = nil
 	l.skipRounds = min(maxBackoffRounds, 1<<l.failures) - 1
 	l.failures = min(l.failures+1, maxBackoffRounds)
 }
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -69,9 +69,9 @@
 
 // link is the outgoing link to one address.
 type link struct {
-	// openMu is held while the link is being opened, so that concurrent calls open only one.
-	openMu sync.Mutex
-	conn   *jsonrpc2.Conn
+	conn *jsonrpc2.Conn
+	// opening is the attempt in progress to open the link, nil if there is none.
+	opening *opening
 	// heartbeatInFlight is true from the start of a heartbeat until its response or failure.
 	heartbeatInFlight bool
 	// failures is the number of failures to connect since the last success.
@@ -268,7 +268,7 @@
 func call(parent context.Context, n *Node, address, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(parent, n.Timeout)
 	defer cancel()
-	conn, err := n.connect(parent, address)
+	conn, err := n.connect(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/keel/peer/node_test.go
+++ b/keel/peer/node_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/claim"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/peer"
 )
 
@@ -220,3 +221,33 @@
 		synctest.Wait()
 	})
 }
+
+// TestCallsToUnreachablePeerWaitTogether makes many calls to an address that doesn't respond: all of them fail when the
+// attempt to connect does, and not one after another.
+func TestCallsToUnreachablePeerWaitTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newClient(func(string) (net.Conn, error) {
+			time.Sleep(time.Second)
+			return nil, errors.New("timeout")
+		})
+		began := time.Now()
+		var group sync.WaitGroup
+		for range 20 {
+			group.Go(func() {
+				err := node.CallWithTimeout(t.Context(), 2*time.Second, "b", "method", struct{}{}, &struct{}{})
+				assert.Check(t, fault.As(err).Outcome() == fault.NotRun, "%v", err)
+			})
+		}
+		group.Wait()
+		assert.Check(t, time.Since(began) <= time.Second, "all failed after %s", time.Since(began))
+
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		began = time.Now()
+		err := node.Call(ctx, "b", "method", struct{}{}, &struct{}{})
+		assert.Check(t, fault.As(err).Outcome() == fault.NotRun, "%v", err)
+		assert.Check(t, time.Since(began) <= 100*time.Millisecond, "failed after %s", time.Since(began))
+		node.Close()
+		time.Sleep(time.Second)
+	})
+}
