The removal of expired claims passes rows that are removed already

A scan of the table lists removed rows with the version of their removal. A step of the sweeper that read nothing else left its cursor where it was, and read the same rows again for ever: after a full batch of 200 was removed in one transaction, the claims after that transaction stayed in the table.

The cursor now advances past removed rows without a commit; the next removal stores it.

TestSweepPassesRemovedRows failed before: of 1,000 expired claims and 10 later ones, the 10 remained.

--- a/keel/claim/sweep.go
+++ b/keel/claim/sweep.go
@@ -127,21 +127,21 @@
 	if err != nil {
 		return result, err
 	}
-	through := result.cursor.Through
+	result.more = scan.More
 	for _, row := range scan.Rows {
 		if !row.Deleted() && !claimedBefore(row, before) {
+			result.more = false
 			break
 		}
-		through = row.Version
+		result.cursor.Through = row.Version
 		if !row.Deleted() {
 			result.expired = append(result.expired, row)
 		}
 	}
 	if len(result.expired) == 0 {
+		// Rows that are removed already need no commit; the next one stores the cursor.
 		return result, nil
 	}
-	result.more = scan.More
-	result.cursor.Through = through
 	return result, s.commit(ctx, lease, &result)
 }
 
--- /dev/null
+++ b/keel/claim/sweep_test.go
@@ -0,0 +1,45 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/duty"
+	"samphirekeel.example/keel/platform"
+	"samphirekeel.example/keel/platform/platformtest"
+)
+
+// Guards against expired claims that are never removed. A scan of the table lists removed rows too, and a batch of
+// nothing else didn't advance the cursor.
+func TestSweepPassesRemovedRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := &Sweeper{Client: p.Client("a")}
+		addClaims := func(from, n int) {
+			for i := from; i < from+n; i++ {
+				value, err := json.Marshal(Record{UnixMillis: 1})
+				assert.NilError(t, err)
+				p.Table().Commit(platform.Txn{Writes: []platform.Write{{Key: fmt.Sprintf("%spartner/service/%04d", Prefix, i), Value: value}}})
+			}
+		}
+		current := cursor{}
+		sweep := func() {
+			for range 20 {
+				result, err := s.sweep(t.Context(), duty.Lease{Condition: platform.Condition{Key: "duty"}}, "partner/service", current, 2)
+				assert.NilError(t, err)
+				current = result.cursor
+			}
+		}
+		addClaims(0, 5*sweepBatch)
+		sweep()
+		addClaims(5*sweepBatch, 10)
+		sweep()
+		for _, row := range p.Table().Scan(platform.ScanRequest{Prefix: Prefix, Limit: 1 << 20}).Rows {
+			assert.Assert(t, row.Deleted(), "%s remains", row.Key)
+		}
+	})
+}
