Roster rows of ended workers are removed despite conflicts

Cause: a transaction that removes 45 obsolete rows is conditional on their versions. A worker that was removed and then registered once more, as the registration of a moved instance's worker does until it disappears, has its row written again, so that the transaction with the earlier version fails. After a failure the next one followed only in the next clean-up round, 1.5 s later: at most 30 rows a second were dealt with while the leader moved up to 200 instances a second.

Ruled out: a partition in doubt, whose rows aren't removed (no write had failed before 34 s); rows written after their worker's removal.

Fix: a conflict drops the rows that were written again; if it dropped any, the next transaction follows at once, after staleInterval, as after a success.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -365,11 +365,16 @@
 			for _, row := range result.Current {
 				present[row.Key] = row.Version
 			}
+			kept := 0
 			for _, row := range rows {
 				if !fault.IsKind(err, fault.Conflict) || present[row.Key] == row.Version {
 					l.stale[partition] = append(l.stale[partition], row)
+					kept++
 				}
 			}
+			if kept < len(rows) {
+				s.after(staleInterval, func() { s.removeStale(partition) })
+			}
 		})
 }
 
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -962,3 +962,30 @@
 		assert.Equal(t, done, wanted)
 	})
 }
+
+// Guards against a roster that fills with ended workers, for each of which the next leader waits. Some of their rows were
+// written again after their removal was scheduled, by a late registration.
+func TestRosterRowsOfEndedWorkersRemoved(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for i := range 400 {
+			b.addInstance("m" + strconv.Itoa(i))
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				r := w.Registration
+				b.s.removeWorker(w, "instance is moving")
+				b.s.register(r)
+			}
+		})
+		time.Sleep(time.Second)
+		for i := range 400 {
+			b.fleet.Crash("m"+strconv.Itoa(i), time.Minute)
+		}
+		time.Sleep(8 * time.Second)
+		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(contents.Roster), 0)
+	})
+}
