Roster rows are removed from a partition in doubt too

After a write of unknown outcome the writer of the ledger moves to the next partition and stays there; the one that it left is in doubt until it comes back, and its obsolete rows aren't removed meanwhile.

Fix: the clean-up raises the guard of such a partition, as the next write there would, and then removes the rows. Two guards raised at the same time can't leave the earlier version behind; one of unknown outcome leaves the partition in doubt.

Test: TestRosterRowsRemovedFromPartitionInDoubt failed before with 20 of 20 rows left 6 s after their workers' end.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -155,12 +155,37 @@
 			l.switchPartition(partition, 0, err)
 			return
 		}
-		l.s.guards[partition] = version
-		delete(l.inDoubt, partition)
+		l.recordGuard(partition, version)
 		l.flush()
 	})
 }
 
+// recordGuard records that the partition's guard was raised. Of two that were raised at the same time, the later holds.
+func (l *ledgerWriter) recordGuard(partition string, version uint64) {
+	l.s.guards[partition] = max(l.s.guards[partition], version)
+	delete(l.inDoubt, partition)
+}
+
+// resolveDoubt raises the guard of a partition in doubt that the writer has left with obsolete rows, so that these can be
+// removed.
+func (l *ledgerWriter) resolveDoubt(partition string) {
+	if len(l.stale[partition]) == 0 || partition == l.partitions[l.current] {
+		return
+	}
+	call(l.s, callTimeout, func(ctx context.Context) (uint64, error) {
+		return ledger.RaiseGuard(ctx, l.s.Store, partition, l.s.Epoch)
+	}, func(version uint64, err error) {
+		switch {
+		case err == nil:
+			l.recordGuard(partition, version)
+			l.s.removeStale(partition)
+		case fault.As(err).Outcome() != fault.NotRun:
+			// The guard may be raised later, so it has to be raised again before the next write.
+			l.inDoubt[partition] = true
+		}
+	})
+}
+
 // timeout returns the timeout of a write: short enough to switch partitions soon, longer while the whole store is slow.
 func (l *ledgerWriter) timeout() time.Duration {
 	if l.failures >= len(l.partitions) {
@@ -387,6 +412,10 @@
 	}
 	l.stubbedAt = now
 	for _, partition := range l.partitions {
+		if l.inDoubt[partition] {
+			l.resolveDoubt(partition)
+			continue
+		}
 		s.removeStale(partition)
 	}
 	byPartition := make(map[string][]*job)
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -989,3 +990,34 @@
 		assert.Equal(t, len(contents.Roster), 0)
 	})
 }
+
+// Guards against roster rows that stay in a partition after the writer has left it, because a write there had an unknown
+// outcome: the next leader waits for their workers.
+func TestRosterRowsRemovedFromPartitionInDoubt(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for i := range 20 {
+			b.addInstance("m" + strconv.Itoa(i))
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		inner := b.store.Client("leader").Commit
+		var failed atomic.Bool
+		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+			if failed.Swap(true) {
+				return inner(ctx, txn)
+			}
+			<-ctx.Done()
+			return table.Result{}, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.Unknown)
+		}
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		for i := range 20 {
+			b.fleet.Crash("m"+strconv.Itoa(i), time.Minute)
+		}
+		time.Sleep(6 * time.Second)
+		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(contents.Roster), 0)
+	})
+}
