A gang that lacks a member is stopped

When the start of one member was rejected or its outcome unknown, the others held their workers without making progress. After 0.9 s that counted as a fault of the workers: their runs were stopped and they got no tasks for 2.5 s and more, with nothing wrong with them. The runs of the other members are now stopped at once, and the gang is placed again.

TestGangIsStoppedWithoutAMember failed before: the job of 1 s was still running after 2.5 s.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1021,3 +1021,28 @@
 		assert.Equal(t, len(contents.Roster), 0)
 	})
 }
+
+// Guards against healthy workers that get no tasks because their gang waited for a member whose start was rejected: their
+// runs made no progress, which counted as a fault of the workers.
+func TestGangIsStoppedWithoutAMember(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		inner := b.fleet.WorkerClient("leader").Start
+		rejected := false
+		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+			if o.Task.Index == 1 && !rejected {
+				rejected = true
+				return worker.Reply{Refusal: worker.NoCapacity}, nil
+			}
+			return inner(ctx, to, o)
+		}
+		job := singleStepJob(firstJob, "p", 2, time.Second)
+		job.Steps[0].Gang, job.Steps[0].Size.MilliCores = true, 16000
+		b.submit(job, time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -210,6 +210,19 @@
 func (s *Scheduler) abandonStart(r *run, reason string) {
 	s.Log.Write(event.TaskRefused, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason})
 	s.removeRun(r, reason)
+	s.stopGang(r.task)
+}
+
+// stopGang stops the runs of a gang that lacks the task's run, because they can't make progress without it.
+func (s *Scheduler) stopGang(t *task) {
+	if !t.step.spec.Gang {
+		return
+	}
+	for _, member := range t.step.tasks {
+		for _, r := range member.runs {
+			s.stop(r, "a member of the gang was not started")
+		}
+	}
 }
 
 // markInDoubt marks a run whose start order has an unknown outcome, and stops it. The run keeps its capacity until the
@@ -222,6 +235,7 @@
 		s.sendStop(r)
 	}
 	s.stop(r, "outcome of the start order is unknown")
+	s.stopGang(r.task)
 	s.scheduleRenewal(r.worker, 0)
 }
 
