Long-running tasks leave a draining worker after a takeover

They were stopped when the worker registered as draining. A run that was starting then, or that a new leader learned of only after the registration, stayed there until the worker ended, and was away for as long as its end took to be known. They are now stopped in each check of the worker's runs.

TestDrainContinuesAfterLeaderChange failed before: the task was still on the draining worker after 5 s.

--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -85,12 +85,16 @@
 	s.after(duration, s.schedulePlan)
 }
 
-// checkRuns checks all runs on responsive workers for stalls and for the need of a speculative run.
+// checkRuns checks all runs on responsive workers for drains, for stalls and for the need of a speculative run.
 func (s *Scheduler) checkRuns(now time.Duration) {
 	for _, w := range s.workers {
 		if w.unresponsiveSince != 0 {
 			continue
 		}
+		if w.Draining {
+			// Runs of an earlier leader, and runs that were starting, are known only later than the registration.
+			s.evictAllLongRunning(w)
+		}
 		for _, r := range sortedRuns(w.runs) {
 			s.checkStalled(w, r)
 			r.checkSpeculation(now)
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1046,3 +1046,35 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a long-running task that stays on a draining worker until that ends: the leader changed between the
+// worker's registration as draining and the stop of its tasks.
+func TestDrainContinuesAfterLeaderChange(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 1, time.Minute)
+		job.Steps[0].LongRunning = true
+		b.submit(job, time.Minute)
+		time.Sleep(1500 * time.Millisecond)
+		host := func() string {
+			name := ""
+			b.onLoop(func() {
+				for _, w := range b.s.workers {
+					if len(w.runs) > 0 {
+						name = w.Instance
+					}
+				}
+			})
+			return name
+		}
+		draining := host()
+		b.onLoop(b.s.End)
+		b.fleet.Drain(draining, 20*time.Second)
+		b.startEpoch(2, "p")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, host() != draining)
+	})
+}
