A task that fits on no instance keeps none

A task larger than every instance, or with a label that none has, counted as demand of its pool like any other. The pool drew in all spare instances and kept its idle ones, and the jobs of other pools waited beside them for as long as the task was there. Steps that no listed instance could run count neither as demand nor as a need for more workers; waves then don't wait for them either.

TestImpossibleTaskKeepsNoInstances failed before: the other pool's job was still queued 5 s after its submission.

--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		d := &demand{pool: p}
-		d.required, d.requiredOnTime = p.requiredCapacity(now, s.Bounds.MoveTime+workerStartDelay)
+		d.required, d.requiredOnTime = p.requiredCapacity(now, s.Bounds.MoveTime+workerStartDelay, s.fleet.mayRun)
 		for w := range p.workers {
 			if !s.healthy(w, now) {
 				continue
@@ -121,10 +121,10 @@
 // backlogClearTime. The expected arrivals always count fully; the backlog counts while both together stay below what
 // the unfinished tasks could use in parallel now. The second result leaves out jobs that can no longer meet their
 // objective.
-func (p *pool) requiredCapacity(now, horizon time.Duration) (total, onTime int64) {
+func (p *pool) requiredCapacity(now, horizon time.Duration, mayRun func(*stepState) bool) (total, onTime int64) {
 	var totalWork, onTimeWork openWork
 	for j := range p.jobs {
-		w := j.openWork()
+		w := j.openWork(mayRun)
 		totalWork.add(w)
 		if j.serviceClass(now) < classLate {
 			onTimeWork.add(w)
@@ -151,15 +151,16 @@
 	return w.longRunning + max(expected, min(w.runnable, expected+w.backlog))
 }
 
-// openWork returns the unfinished work of the job's ready steps; best-effort tasks take no capacity.
-func (j *job) openWork() openWork {
+// openWork returns the unfinished work of the job's ready steps; best-effort tasks take no capacity, and tasks that no
+// instance may run don't count.
+func (j *job) openWork(mayRun func(*stepState) bool) openWork {
 	var w openWork
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
 		}
 		for _, step := range o.steps {
-			if !step.ready || step.spec.BestEffort {
+			if !step.ready || step.spec.BestEffort || !mayRun(step) {
 				continue
 			}
 			cpu := step.spec.Size.MilliCores
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -4,10 +4,12 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/provider"
+	"samphirekeel.example/keel/work"
 )
 
 const (
@@ -60,6 +62,8 @@
 	unknownSince map[string]time.Duration
 	// registeredAt holds, by instance, when a worker of it was last registered for the first time.
 	registeredAt map[string]time.Duration
+	// shapes holds one instance for each combination of capacity and labels that the latest list has.
+	shapes []provider.Instance
 	// incoming holds the instances that were ordered into a pool and have not joined it yet.
 	incoming map[string]incomingInstance
 	// unsuitable holds, by instance, the pools for which the instance service rejected the instance. It is cleared for
@@ -150,6 +154,7 @@
 			s.Log.Write(event.InstanceListed, event.Fields{"instance": i.ID, "pool": i.Pool, "state": string(i.State), "worker": i.Worker})
 		}
 	}
+	s.fleet.shapes = distinctShapes(all)
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
@@ -168,6 +173,29 @@
 	s.schedulePlan()
 }
 
+// distinctShapes returns one instance for each combination of capacity and labels.
+func distinctShapes(all []provider.Instance) []provider.Instance {
+	type shape struct {
+		capacity work.Size
+		labels   string
+	}
+	var shapes []provider.Instance
+	known := make(map[shape]bool)
+	for _, i := range all {
+		key := shape{i.Capacity, strings.Join(i.Labels, "\n")}
+		if !known[key] {
+			known[key] = true
+			shapes = append(shapes, i)
+		}
+	}
+	return shapes
+}
+
+// mayRun reports whether some listed instance could run a task of the step; without a list it is assumed.
+func (f *fleetState) mayRun(step *stepState) bool {
+	return f.listedAt == 0 || slices.ContainsFunc(f.shapes, step.suits)
+}
+
 // restoreListed adds the instance's worker again if it was removed although it is alive: the store still has its
 // registration, whose row doesn't change any more, and a list that was requested more than listLag later shows it.
 func (s *Scheduler) restoreListed(i provider.Instance, sent time.Duration) {
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -196,9 +196,9 @@
 	})
 }
 
-// addMissing counts the additional workers that the unplaced tasks of the step need.
+// addMissing counts the additional workers that the unplaced tasks of the step need, unless no instance could run them.
 func (pl *planner) addMissing(step *stepState, tasks int) {
-	if !pl.missing.full() {
+	if !pl.missing.full() && pl.s.fleet.mayRun(step) {
 		pl.missing.add(step, pl.workersFor(step, tasks))
 	}
 }
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1078,3 +1078,21 @@
 		assert.Assert(t, host() != draining)
 	})
 }
+
+// Guards against jobs that wait beside idle instances of another pool, which keeps them for a task that fits on none.
+func TestImpossibleTaskKeepsNoInstances(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for _, id := range []string{"m1", "m2", "m3"} {
+			b.addInstance(id)
+		}
+		b.startEpoch(1, "p", "q")
+		time.Sleep(500 * time.Millisecond)
+		impossible := singleStepJob("00000000000000a2", "p", 1, time.Minute)
+		impossible.Steps[0].LongRunning, impossible.Steps[0].Size.MilliCores = true, 64000
+		b.submit(impossible, time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "q", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
