An instance that rejects orders doesn't hold up others

The instance that is selected first for a move or a maintenance may be listed as up and yet reject each order, because it is leaving. It was selected again in the next pass, 50 or 100 ms later: the pool that fell short by one instance got none of the others, and a wave with one instance at a time stood still, for as long as that lasted. An instance that rejected an order as busy or fenced gets no other one for 1 s.

TestRejectingInstanceHoldsNoOthers failed before, for the move and for the wave each run by itself: job still queued, no maintenance after 6 s.

--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -37,6 +37,8 @@
 	scaleUpRateShare     = 0.99
 	maintenanceRateShare = 0.6
 	scaleDownRateShare   = 0.35
+	// orderRetry is how long an instance that rejected an order gets no other one, so that other instances are selected.
+	orderRetry = time.Second
 	// headroom is the factor by which a pool's capacity must still exceed its requirement after it gives up an
 	// instance.
 	headroom = 1.15
@@ -73,6 +75,8 @@
 	recentOrders []time.Duration
 	// lastOrder holds, by instance, when this holder last gave it an order.
 	lastOrder map[string]time.Duration
+	// retryAt holds, by instance, the earliest time for the next order after one that was rejected.
+	retryAt map[string]time.Duration
 	// orderFailedAt is when an order last got no response, 0 if the latest response came after that.
 	orderFailedAt time.Duration
 }
@@ -91,6 +95,7 @@
 	f.lastList = make(map[string]int64)
 	f.incoming = make(map[string]incomingInstance)
 	f.unsuitable = make(map[string]map[string]bool)
+	f.retryAt = make(map[string]time.Duration)
 	f.lastOrder = make(map[string]time.Duration)
 }
 
@@ -239,10 +244,10 @@
 // between the requests for its pages.
 func (f *fleetState) isGone(instance string) bool { return f.lists-f.lastList[instance] >= 2 }
 
-// mayOrder reports whether the instance may get an order now. Orders wait for the end of the previous holder's lease,
-// and each purpose may use only its share of the rate limit.
+// mayOrder reports whether the instance may get an order now. Orders wait for the end of the previous holder's lease and
+// for orderRetry after a rejection, and each purpose may use only its share of the rate limit.
 func (s *Scheduler) mayOrder(instance string, rateShare float64, now time.Duration) bool {
-	if now < s.OrdersFrom || now < s.InstanceOrdersFrom[instance] {
+	if now < s.OrdersFrom || now < s.InstanceOrdersFrom[instance] || now < s.fleet.retryAt[instance] {
 		return false
 	}
 	f := &s.fleet
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1096,3 +1096,38 @@
 		assert.Equal(t, b.state(), work.Completed)
 	})
 }
+
+// Guards against a pool and a wave that make no progress because the service rejects each order to the instance that is
+// selected first, which the list shows as up.
+func TestRejectingInstanceHoldsNoOthers(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for _, id := range []string{"m1", "m2"} {
+			b.fleet.Add(id, "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
+		}
+		b.addInstance("m3")
+		b.addInstance("m4")
+		b.startEpoch(1, "p", "q")
+		move, maintain := b.s.Provider.Move, b.s.Provider.Maintain
+		b.s.Provider.Move = func(ctx context.Context, id, pool string, fence provider.Fence) (provider.Refusal, error) {
+			if id != "m2" {
+				return provider.Busy, nil
+			}
+			return move(ctx, id, pool, fence)
+		}
+		b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
+			if id == "m3" {
+				return provider.Busy, nil
+			}
+			return maintain(ctx, id, wave, fence)
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "q", 1, 100*time.Millisecond), 100*time.Millisecond)
+		wave := provider.Wave{Number: 1, Instances: []string{"m3", "m4"}, DeadlineSeconds: 10, MaxConcurrent: 1}
+		b.checker.AddWave(wave)
+		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		done, _ := b.checker.WaveProgress(1)
+		assert.Equal(t, done, 1)
+	})
+}
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -190,6 +190,9 @@
 	if fault.IsKind(err, fault.PlatformUnavailable) {
 		s.fleet.orderFailedAt = s.Now()
 	}
+	if refusal == provider.Busy || refusal == provider.Fenced {
+		s.fleet.retryAt[instance] = s.Now() + orderRetry
+	}
 	s.Log.Write(event.InstanceOrderRefused, event.Fields{"instance": instance, "order": order, "reason": reason})
 	if w == nil {
 		return
