Tests of waits change the platform's calls on the control loop

go test -race reported the replaced calls of the instance service, and the count of start orders that some of these tests read, in TestStaleListLosesNoWorker, TestFailedOrderFreesTheWorkerItWasFor, TestReplacedInstanceIsSuitable, TestTicketRequestedForEligibleWorker and TestWaveWaitsForTheInstancesPresentWorker. Both go through the loop now; what is checked is the same. Left as it was: TestOutcomeVisibleOnlyAfterStored, which the race detector reports since before.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -573,19 +573,21 @@
 		b.startEpoch(1, "p")
 		time.Sleep(500 * time.Millisecond)
 		first := true
-		maintain := b.s.Provider.Maintain
-		b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
-			refusal, err := maintain(ctx, id, wave, fence)
-			if first {
-				first = false
-				<-ctx.Done()
-				return provider.Accepted, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.Unknown)
-			}
-			return refusal, err
-		}
 		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 20, MaxConcurrent: 1}
 		b.checker.AddWave(wave)
-		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+		b.onLoop(func() {
+			maintain := b.s.Provider.Maintain
+			b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
+				refusal, err := maintain(ctx, id, wave, fence)
+				if first {
+					first = false
+					<-ctx.Done()
+					return provider.Accepted, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.Unknown)
+				}
+				return refusal, err
+			}
+			b.s.SetWaves([]provider.Wave{wave})
+		})
 		time.Sleep(15 * time.Second)
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(2 * time.Second)
@@ -600,18 +602,22 @@
 		b.addInstance("m1")
 		b.startEpoch(1, "p")
 		time.Sleep(1500 * time.Millisecond)
-		list := b.s.Provider.List
 		stale := true
-		b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
-			page, err := list(ctx, token)
-			if stale && len(page.Instances) > 0 {
-				stale = false
-				page.Instances[0].Worker = "w-earlier"
+		b.onLoop(func() {
+			list := b.s.Provider.List
+			b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
+				page, err := list(ctx, token)
+				if stale && len(page.Instances) > 0 {
+					stale = false
+					page.Instances[0].Worker = "w-earlier"
+				}
+				return page, err
 			}
-			return page, err
-		}
+		})
 		time.Sleep(time.Second)
-		assert.Assert(t, !stale)
+		unused := false
+		b.onLoop(func() { unused = stale })
+		assert.Assert(t, !unused)
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
@@ -625,15 +631,15 @@
 		b.addInstance("m1")
 		b.startEpoch(1, "p")
 		time.Sleep(500 * time.Millisecond)
-		b.s.Provider.List = func(ctx context.Context, _ string) (provider.Page, error) {
-			<-ctx.Done()
-			return provider.Page{}, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.NotRun)
-		}
-		b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
-			time.Sleep(500 * time.Millisecond)
-			return provider.Busy, nil
-		}
 		b.onLoop(func() {
+			b.s.Provider.List = func(ctx context.Context, _ string) (provider.Page, error) {
+				<-ctx.Done()
+				return provider.Page{}, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.NotRun)
+			}
+			b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
+				time.Sleep(500 * time.Millisecond)
+				return provider.Busy, nil
+			}
 			current := b.s.workerOf["m1"]
 			i := b.s.fleet.instances["m1"]
 			i.Worker = ""
@@ -715,7 +721,7 @@
 		b.startPair()
 		b.onLoop(b.failInstanceService)
 		time.Sleep(500 * time.Millisecond)
-		started := b.fleet.Starts
+		started := b.starts()
 		wave := provider.Wave{Number: 1, Instances: []string{"m1", "m2"}, DeadlineSeconds: 5, MaxConcurrent: 2}
 		b.checker.AddWave(wave)
 		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
@@ -726,7 +732,7 @@
 		var state work.State
 		b.onLoop(func() { state, _ = b.s.State(job.ID) })
 		assert.Equal(t, state, work.Completed)
-		assert.Equal(t, b.fleet.Starts, started+1, "long-running tasks were stopped")
+		assert.Equal(t, b.starts(), started+1, "long-running tasks were stopped")
 	})
 }
 
@@ -787,14 +793,14 @@
 		time.Sleep(8200 * time.Millisecond)
 		b.submit(singleStepJob(firstJob, "p", 1, 10*time.Second), 10*time.Second)
 		time.Sleep(500 * time.Millisecond)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 4, MaxConcurrent: 1}
 		b.checker.AddWave(wave)
 		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
 		b.fleet.RegisterLate("m1")
 		time.Sleep(20 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 		done, wanted := b.checker.WaveProgress(1)
 		assert.Equal(t, done, wanted)
 	})
@@ -806,14 +812,17 @@
 	withTestbed(t, func(b *testbed) {
 		b.fleet.Add("m1", "spare", "a", "ra-0", work.Size{MilliCores: 8000, MemoryMB: 32768})
 		b.startEpoch(1, "p")
-		move := b.s.Provider.Move
-		b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
-			return provider.Unsuitable, nil
-		}
+		var move func(context.Context, string, string, provider.Fence) (provider.Refusal, error)
+		b.onLoop(func() {
+			move = b.s.Provider.Move
+			b.s.Provider.Move = func(context.Context, string, string, provider.Fence) (provider.Refusal, error) {
+				return provider.Unsuitable, nil
+			}
+		})
 		time.Sleep(500 * time.Millisecond)
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(time.Second)
-		b.s.Provider.Move = move
+		b.onLoop(func() { b.s.Provider.Move = move })
 		b.fleet.Remove("m1")
 		b.fleet.Add("m1", "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
 		time.Sleep(6 * time.Second)
@@ -849,7 +858,7 @@
 		time.Sleep(time.Second)
 		b.addInstance("m2")
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, b.fleet.Starts, 2)
+		assert.Equal(t, b.starts(), 2)
 	})
 }
 
@@ -914,7 +923,7 @@
 		b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Assert(t, b.fleet.Starts <= 3, "%d start orders", b.fleet.Starts)
+		assert.Assert(t, b.starts() <= 3, "%d start orders", b.starts())
 	})
 }
 
@@ -929,15 +938,17 @@
 		b.checker.AddWave(wave)
 		list := b.s.Provider.List
 		lacks := true
-		b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
-			page, err := list(ctx, token)
-			if lacks {
-				lacks = false
-				page.Instances = nil
+		b.onLoop(func() {
+			b.s.Provider.List = func(ctx context.Context, token string) (provider.Page, error) {
+				page, err := list(ctx, token)
+				if lacks {
+					lacks = false
+					page.Instances = nil
+				}
+				return page, err
 			}
-			return page, err
-		}
-		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
+			b.s.SetWaves([]provider.Wave{wave})
+		})
 		time.Sleep(15 * time.Second)
 		done, wanted := b.checker.WaveProgress(1)
 		assert.Equal(t, done, wanted)
@@ -1107,19 +1118,21 @@
 		b.addInstance("m3")
 		b.addInstance("m4")
 		b.startEpoch(1, "p", "q")
-		move, maintain := b.s.Provider.Move, b.s.Provider.Maintain
-		b.s.Provider.Move = func(ctx context.Context, id, pool string, fence provider.Fence) (provider.Refusal, error) {
-			if id != "m2" {
-				return provider.Busy, nil
+		b.onLoop(func() {
+			move, maintain := b.s.Provider.Move, b.s.Provider.Maintain
+			b.s.Provider.Move = func(ctx context.Context, id, pool string, fence provider.Fence) (provider.Refusal, error) {
+				if id != "m2" {
+					return provider.Busy, nil
+				}
+				return move(ctx, id, pool, fence)
 			}
-			return move(ctx, id, pool, fence)
-		}
-		b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
-			if id == "m3" {
-				return provider.Busy, nil
+			b.s.Provider.Maintain = func(ctx context.Context, id string, wave int64, fence provider.Fence) (provider.Refusal, error) {
+				if id == "m3" {
+					return provider.Busy, nil
+				}
+				return maintain(ctx, id, wave, fence)
 			}
-			return maintain(ctx, id, wave, fence)
-		}
+		})
 		time.Sleep(500 * time.Millisecond)
 		b.submit(singleStepJob(firstJob, "q", 1, 100*time.Millisecond), 100*time.Millisecond)
 		wave := provider.Wave{Number: 1, Instances: []string{"m3", "m4"}, DeadlineSeconds: 10, MaxConcurrent: 1}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -185,6 +185,13 @@
 	return append(append([]string{}, b.maintained...), b.moved...)
 }
 
+// starts returns the number of start orders that workers have received.
+func (b *testbed) starts() int {
+	n := 0
+	b.onLoop(func() { n = b.fleet.Starts })
+	return n
+}
+
 // addInstance adds an instance of 16 cores to pool p in data centre a.
 func (b *testbed) addInstance(id string) { b.addInstanceIn(id, "a") }
 
