A pool keeps the instances that its constrained tasks wait for

Cause: a pool that falls short takes idle instances from any pool with excess capacity. Capacity doesn't show that a worker is there for a limit per worker; only moves to the spare pool and the reclaiming of workers looked at that.

Change: what a pool's waiting tasks need in addition isn't given up, whichever way; for jobs on time only what long-running tasks need. An instance that doesn't suit these tasks may still go.

--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/provider"
 )
 
 // demand compares the capacity that a pool requires with what it has, in milli-cores.
@@ -36,6 +37,16 @@
 	return int64(d.pool.missing.longRunning)*instanceCapacity - d.incoming
 }
 
+// keeps reports whether the pool doesn't give up the instance, because tasks of it wait for a worker like that. With
+// onTime, only long-running tasks count.
+func (d *demand) keeps(i provider.Instance, onTime bool) bool {
+	missing := &d.pool.missing
+	if onTime {
+		return missing.longRunning > 0 && missing.suitsLongRunning(i)
+	}
+	return missing.workers > 0 && missing.suits(i)
+}
+
 // onTimeShortfall returns the capacity that the pool lacks for long-running tasks and for jobs that can still meet
 // their objective.
 func (d *demand) onTimeShortfall() int64 { return d.requiredOnTime - d.capacity - d.incoming }
--- a/keel/schedule/reclaim.go
+++ b/keel/schedule/reclaim.go
@@ -33,7 +33,7 @@
 		maxWait = reclaimWaitOnTime
 	}
 	for _, d := range demands {
-		if d == to || d.pool.missing.workers > 0 && !onTime {
+		if d == to {
 			continue
 		}
 		reserve := d.reserve(onTime)
@@ -45,7 +45,7 @@
 				return
 			}
 			i := s.fleet.instances[w.Instance]
-			if s.fleet.unsuitable[w.Instance][to.pool.name] || !suits(i) {
+			if s.fleet.unsuitable[w.Instance][to.pool.name] || !suits(i) || d.keeps(i, onTime) {
 				continue
 			}
 			capacity := d.capacityWithout(w, now)
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -69,7 +69,7 @@
 				break
 			}
 			i := s.fleet.instances[w.Instance]
-			if suits(i) && s.movable(i, to.pool.name, scaleUpRateShare, now) {
+			if suits(i) && !d.keeps(i, onTime) && s.movable(i, to.pool.name, scaleUpRateShare, now) {
 				d.idle = slices.Delete(d.idle, n, n+1)
 				d.capacity = capacity
 				return w.Instance, w.Capacity.MilliCores, d.pool.name
