A fault of an emulated worker skips instances that were taken away

Cause: Fleet.SetBehaviour failed with a nil pointer if the instance had vanished before the fault ended.

--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -187,15 +187,14 @@
 	f.lateShare = share
 }
 
-// SetBehaviour sets the behaviour of the current worker of an instance.
+// SetBehaviour sets the behaviour of the current worker of an instance, if there is one.
 func (f *Fleet) SetBehaviour(id string, behaviour Behaviour) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.instances[id].worker
-	if w != nil {
-		w.updateLocked()
-		w.behaviour = behaviour
-		w.scheduleLocked()
+	for _, inst := range f.withWorkersLocked([]string{id}) {
+		inst.worker.updateLocked()
+		inst.worker.behaviour = behaviour
+		inst.worker.scheduleLocked()
 	}
 }
 
