A start without a response holds its task for 2 s, not for a worker lease

Cause: a start order grants a worker lease of 6 s. If an idle worker has become unreachable unnoticed, the order gets no response, and the task is held until that lease has expired, since the order may have been carried out.

Change: the lease of a worker without confirmed runs is 2 s. The first renewal after the start's response extends it; that renewal follows within milliseconds and isn't held open by the worker before a run is confirmed. An order that arrives later than its lease is rejected, as before.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1144,3 +1144,20 @@
 		assert.Equal(t, done, 1)
 	})
 }
+
+// Guards against holding a task for a whole worker lease because its start got no response: the worker became
+// unreachable while it was idle, so that the scheduler didn't know.
+func TestStartAtUnreachableIdleWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstanceIn("m2", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.SetUnreachable(true, "m1")
+		job := singleStepJob(firstJob, "p", 1, time.Minute)
+		job.Steps[0].LongRunning = true
+		b.submit(job, time.Minute)
+		assert.Assert(t, b.timeUntilLongRunning(time.Minute) <= 3*time.Second)
+		assert.Equal(t, b.fleet.Starts, 1)
+	})
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -39,7 +39,7 @@
 	before := w.leaseExpiry
 	if w.fenced && w.unresponsiveSince == 0 {
 		order.LeaseEnd = s.extendLease(w)
-		if len(w.ends) == 0 && len(w.runs) > 0 {
+		if len(w.ends) == 0 && w.hasConfirmedRun() {
 			order.Wait = renewWait
 			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -16,6 +16,10 @@
 	// workerLease is the duration of a worker's lease. It exceeds the time of a leader change and of a store outage of
 	// a few seconds. Tasks of a lost worker start elsewhere only after it has expired.
 	workerLease = 6 * time.Second
+	// startLease is the duration of the lease of a worker without confirmed runs. The first renewal after a start is
+	// confirmed extends it. An idle worker may have become unreachable unnoticed, and tasks that were to start there
+	// start elsewhere only after this lease has expired.
+	startLease = 2 * time.Second
 	// renewWait is how long a worker with runs holds a renewal request open for a run to end.
 	renewWait = 1200 * time.Millisecond
 	// renewTimeoutMargin is added to the wait of a renewal request for its timeout.
@@ -118,10 +122,23 @@
 	}
 	now := s.Now()
 	duration := min(workerLease, s.Bounds.LeaseMax)
+	if !w.hasConfirmedRun() {
+		duration = min(startLease, duration)
+	}
 	w.leaseExpiry = max(w.leaseExpiry, now+time.Duration(float64(duration)/(1-maxClockDrift))+orderLatency+(now-w.clockReadAt)/20)
 	return w.clockValue + (now - w.clockReadAt) + duration
 }
 
+// hasConfirmedRun reports whether the worker has responded to the start order of one of its runs or has listed one.
+func (w *workerState) hasConfirmedRun() bool {
+	for _, r := range w.runs {
+		if r.confirmedAt != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // maxLeaseTime returns the longest time for which a lease that was granted now can be valid.
 func (s *Scheduler) maxLeaseTime() time.Duration {
 	return time.Duration(float64(min(workerLease, s.Bounds.LeaseMax))/(1-maxClockDrift)) + orderLatency
