The removal of expired claims returns to later claims of a transaction

Claims of one batch have the same version. If one had expired and the next had not, the sweeper's cursor stopped at their common version, and a scan after it no longer lists the second one: it stayed in the table for ever.

The cursor now stays below the version of the first claim that isn't expired.

TestSweepReturnsToLaterClaimOfTransaction failed before: the second claim wasn't removed after it had expired.

--- a/keel/claim/sweep.go
+++ b/keel/claim/sweep.go
@@ -131,6 +131,8 @@
 	for _, row := range scan.Rows {
 		if !row.Deleted() && !claimedBefore(row, before) {
 			result.more = false
+			// The rows of one transaction have the same version.
+			result.cursor.Through = min(result.cursor.Through, row.Version-1)
 			break
 		}
 		result.cursor.Through = row.Version
--- a/keel/claim/sweep_test.go
+++ b/keel/claim/sweep_test.go
@@ -43,3 +43,25 @@
 		}
 	})
 }
+
+// Guards against a claim that is never removed because another one of the same transaction expired a little earlier.
+func TestSweepReturnsToLaterClaimOfTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := &Sweeper{Client: p.Client("a")}
+		var txn platform.Txn
+		for i := range 2 {
+			value, err := json.Marshal(Record{UnixMillis: int64(1 + i)})
+			assert.NilError(t, err)
+			txn.Writes = append(txn.Writes, platform.Write{Key: fmt.Sprintf("%spartner/service/%d", Prefix, i), Value: value})
+		}
+		p.Table().Commit(txn)
+		current := cursor{}
+		for _, before := range []int64{2, 3} {
+			result, err := s.sweep(t.Context(), duty.Lease{Condition: platform.Condition{Key: "duty"}}, "partner/service", current, before)
+			assert.NilError(t, err)
+			assert.Equal(t, len(result.expired), 1)
+			current = result.cursor
+		}
+	})
+}
