The roster row of a worker that was removed meanwhile is removed

A worker that was removed while its roster row was being written left that row in the ledger: the row became known after the worker's rows had been scheduled for removal. At the next change of leader the worker counted as one that may run tasks, and the inherited jobs of its data centre waited for up to 6 s for its lease to expire, unless the instance list showed its end before.

TestRosterRowOfRemovedWorker failed before: 1 row after 20 s.

--- a/keel/schedule/persist_test.go
+++ b/keel/schedule/persist_test.go
@@ -103,3 +103,40 @@
 		assert.Assert(t, !rejected)
 	})
 }
+
+// rosterCopies returns the number of rows that the ledger's roster has of the worker.
+func (b *testbed) rosterCopies(id string) int {
+	contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+	assert.NilError(b.t, err)
+	return len(contents.RosterRows[id])
+}
+
+// Guards against the roster row of a worker that is removed while the row is being written.
+func TestRosterRowOfRemovedWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		inner := b.store.Client("leader").Commit
+		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+			if len(txn.Writes) > 0 && txn.Writes[0].Table == ledger.Roster {
+				time.Sleep(200 * time.Millisecond)
+			}
+			return inner(ctx, txn)
+		}
+		b.addInstance("m1")
+		id := ""
+		b.startEpoch(1, "p")
+		for id == "" {
+			time.Sleep(10 * time.Millisecond)
+			b.onLoop(func() {
+				for _, w := range b.s.workers {
+					if w.rostering {
+						id = w.ID
+						b.s.removeWorker(w, "its instance is gone")
+					}
+				}
+			})
+		}
+		b.fleet.Remove("m1")
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, b.rosterCopies(id), 0)
+	})
+}
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -278,7 +278,13 @@
 		Value: ledger.Encode(ledger.RosterRecord{Instance: w.Instance, Address: w.Address, DataCentre: w.DataCentre}),
 	}, func(partition string, version uint64) {
 		w.rostered, w.rostering = true, false
-		w.rosterRows = append(w.rosterRows, table.Condition{Key: ledger.InPartition(partition, ledger.RosterKey(w.ID)), Version: version})
+		row := table.Condition{Key: ledger.InPartition(partition, ledger.RosterKey(w.ID)), Version: version}
+		switch {
+		case !w.removed:
+			w.rosterRows = append(w.rosterRows, row)
+		case s.workers[w.ID] == nil:
+			s.ledger.removeRows([]table.Condition{row})
+		}
 		s.schedulePlan()
 	})
 }
