Copies of a roster row in other partitions are removed

A write of the ledger without a response is repeated in another partition. If the first one had taken effect, at once or late, the row existed twice, and only the confirmed copy was removed with its worker. Obsolete rows of a partition with a write of unknown outcome weren't removed at all while the writer used another partition. At the next change of leader such a row names a worker that may run tasks: the inherited jobs of its data centre wait for up to 6 s, unless the instance list shows the worker's end, which it doesn't while the list is unreachable.

The writer now looks for the copy 8 s later in each partition in which the outcome was unknown, and raises the guard of a partition in doubt that isn't in use before it removes rows there. Since a raise without a response can now take effect beside the writer, a conflict also leads to a new read of the guard.

TestRosterCopiesRemoved failed before, for a first write that takes effect at once and for one 3 s late: 1 row left.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -31,6 +31,9 @@
 	// stubInterval is the interval between clean-up rounds, which replace ended submissions with stubs and remove
 	// obsolete rows.
 	stubInterval = 1500 * time.Millisecond
+	// copyDelay is the delay before a row is searched in a partition in which a write of it had an unknown outcome. Such a
+	// write may take effect some seconds late.
+	copyDelay = 8 * time.Second
 	// maxStaleRows is the maximum number of obsolete rows removed in one transaction, each with its condition.
 	maxStaleRows = 45
 	// staleInterval is the delay between two transactions that remove obsolete rows of one partition.
@@ -65,16 +68,21 @@
 	// inDoubt holds the partitions in which a write with unknown outcome may still take effect. Their guard is raised
 	// before the next write.
 	inDoubt map[string]bool
+	// fencing holds the partitions whose guard fenceUnused is raising.
+	fencing map[string]bool
 }
 
 type extraRow struct {
 	write table.Write
-	// done is called with the partition and the version of the stored row.
+	// done is called with the partition and the version of the stored row, and again for each copy that an earlier write
+	// of unknown outcome has left in another partition.
 	done func(partition string, version uint64)
+	// maybeIn lists the partitions in which a write had an unknown outcome.
+	maybeIn []string
 }
 
 func (l *ledgerWriter) init(s *Scheduler) {
-	l.maxRows = maxBatchRows
+	l.maxRows, l.fencing = maxBatchRows, make(map[string]bool)
 	l.s, l.partitions, l.stale, l.inDoubt = s, ledger.LeaderPartitions(), make(map[string][]table.Condition), make(map[string]bool)
 }
 
@@ -166,26 +174,6 @@
 	delete(l.inDoubt, partition)
 }
 
-// resolveDoubt raises the guard of a partition in doubt that the writer has left with obsolete rows, so that these can be
-// removed.
-func (l *ledgerWriter) resolveDoubt(partition string) {
-	if len(l.stale[partition]) == 0 || partition == l.partitions[l.current] {
-		return
-	}
-	call(l.s, callTimeout, func(ctx context.Context) (uint64, error) {
-		return ledger.RaiseGuard(ctx, l.s.Store, partition, l.s.Epoch)
-	}, func(version uint64, err error) {
-		switch {
-		case err == nil:
-			l.recordGuard(partition, version)
-			l.s.removeStale(partition)
-		case fault.As(err).Outcome() != fault.NotRun:
-			// The guard may be raised later, so it has to be raised again before the next write.
-			l.inDoubt[partition] = true
-		}
-	})
-}
-
 // timeout returns the timeout of a write: short enough to switch partitions soon, longer while the whole store is slow.
 func (l *ledgerWriter) timeout() time.Duration {
 	if l.failures >= len(l.partitions) {
@@ -291,14 +279,35 @@
 		l.outcomeStored(j, now)
 	}
 	for _, e := range b.extraRows {
-		if e.done != nil {
-			e.done(b.partition, version)
+		if e.done == nil {
+			continue
+		}
+		e.done(b.partition, version)
+		for _, partition := range e.maybeIn {
+			if partition != b.partition {
+				l.s.after(copyDelay, func() { l.findCopy(e, partition) })
+			}
 		}
 	}
 	l.s.acknowledgeAll()
 	l.flush()
 }
 
+// findCopy reads whether a write of unknown outcome has stored the row in the partition, and then calls done.
+func (l *ledgerWriter) findCopy(e extraRow, partition string) {
+	k := ledger.InPartition(partition, e.write.Key)
+	r := table.Range{Table: k.Table, Partition: partition, From: k.Name, Limit: 1}
+	call(l.s, callTimeout, func(ctx context.Context) (table.Page, error) { return l.s.Store.Read(ctx, r) },
+		func(page table.Page, err error) {
+			switch {
+			case err != nil:
+				l.s.after(stubInterval, func() { l.findCopy(e, partition) })
+			case len(page.Rows) > 0 && page.Rows[0].Name == k.Name:
+				e.done(partition, page.Rows[0].Version)
+			}
+		})
+}
+
 func (l *ledgerWriter) outcomeStored(j *job, now time.Duration) {
 	if j.outcome == nil || j.stored || j.storedChange < j.outcomeChange {
 		return
@@ -318,6 +327,14 @@
 
 // requeue queues the rows of a failed batch again, its jobs as urgent ones, and switches to the next partition.
 func (l *ledgerWriter) requeue(b *ledgerBatch, err error) {
+	if fault.As(err).Outcome() != fault.NotRun {
+		for i := range b.extraRows {
+			e := &b.extraRows[i]
+			if !slices.Contains(e.maybeIn, b.partition) {
+				e.maybeIn = append(e.maybeIn, b.partition)
+			}
+		}
+	}
 	rows := len(b.txn.Writes)
 	// The store rejects a transaction as invalid in each partition and at each retry, for example for a row that is too
 	// large, so the other rows must be written without that row.
@@ -353,7 +370,8 @@
 	l.s.Log.Write(event.LedgerFailed, event.Fields{
 		"part": partition, "rows": rows, "kind": failure.Kind().String(), "outcome": string(failure.Outcome()), "reason": err.Error(),
 	})
-	if failure.Outcome() != fault.NotRun {
+	// After a conflict, the guard is read again: a raise by this leader may have taken effect late.
+	if failure.Outcome() != fault.NotRun || failure.Kind() == fault.Conflict {
 		l.inDoubt[partition] = true
 	}
 	l.failures++
@@ -369,7 +387,12 @@
 	l := &s.ledger
 	rows := l.stale[partition]
 	rows = rows[:min(len(rows), maxStaleRows)]
-	if len(rows) == 0 || l.inDoubt[partition] {
+	if len(rows) == 0 {
+		return
+	}
+	if l.inDoubt[partition] {
+		// A write of unknown outcome could store a row again after its removal.
+		s.fenceUnused(partition)
 		return
 	}
 	l.stale[partition] = l.stale[partition][len(rows):]
@@ -403,6 +426,26 @@
 		})
 }
 
+// fenceUnused raises the guard of a partition that isn't in use, so that obsolete rows can be removed from it.
+func (s *Scheduler) fenceUnused(partition string) {
+	l := &s.ledger
+	if l.fencing[partition] || partition == l.partitions[l.current] {
+		return
+	}
+	l.fencing[partition] = true
+	call(s, callTimeout, func(ctx context.Context) (uint64, error) {
+		return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
+	}, func(version uint64, err error) {
+		delete(l.fencing, partition)
+		if err != nil {
+			l.inDoubt[partition] = true
+			return
+		}
+		l.recordGuard(partition, version)
+		s.removeStale(partition)
+	})
+}
+
 // cleanUp removes obsolete rows and replaces the submissions of ended jobs with stubs, which hold only a job's ID and
 // digest. It does so at most once per stubInterval.
 func (s *Scheduler) cleanUp(now time.Duration) {
@@ -412,10 +455,6 @@
 	}
 	l.stubbedAt = now
 	for _, partition := range l.partitions {
-		if l.inDoubt[partition] {
-			l.resolveDoubt(partition)
-			continue
-		}
 		s.removeStale(partition)
 	}
 	byPartition := make(map[string][]*job)
--- a/keel/schedule/persist_test.go
+++ b/keel/schedule/persist_test.go
@@ -111,6 +111,45 @@
 	return len(contents.RosterRows[id])
 }
 
+// Guards against a roster row of a worker that is gone, which holds back the jobs of its data centre after the next change
+// of leader. The response to the row's first write was lost, and the row was written again to another partition.
+func TestRosterCopiesRemoved(t *testing.T) {
+	for name, writtenLate := range map[string]bool{"at once": false, "late": true} {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				inner := b.store.Client("leader").Commit
+				lost := false
+				b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+					if lost || len(txn.Writes) == 0 || txn.Writes[0].Table != ledger.Roster {
+						return inner(ctx, txn)
+					}
+					lost = true
+					if writtenLate {
+						time.AfterFunc(3*time.Second, func() { _, _ = inner(context.Background(), txn) })
+					} else {
+						_, _ = inner(ctx, txn)
+					}
+					<-ctx.Done()
+					return table.Result{}, fault.New(fault.PlatformUnavailable, "response lost").WithOutcome(fault.Unknown)
+				}
+				b.addInstance("m1")
+				b.startEpoch(1, "p")
+				time.Sleep(5 * time.Second)
+				id := ""
+				b.onLoop(func() {
+					for _, w := range b.s.workers {
+						id = w.ID
+					}
+				})
+				assert.Equal(t, b.rosterCopies(id), 2)
+				b.fleet.Remove("m1")
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, b.rosterCopies(id), 0)
+			})
+		})
+	}
+}
+
 // Guards against the roster row of a worker that is removed while the row is being written.
 func TestRosterRowOfRemovedWorker(t *testing.T) {
 	withTestbed(t, func(b *testbed) {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -123,7 +123,7 @@
 	now := s.Now()
 	duration := min(workerLease, s.Bounds.LeaseMax)
 	if !w.hasConfirmedRun() {
-		duration = min(startLease, duration)
+		duration = min(startLease+s.starts.timeout()-orderTimeout, duration)
 	}
 	w.leaseExpiry = max(w.leaseExpiry, now+time.Duration(float64(duration)/(1-maxClockDrift))+orderLatency+(now-w.clockReadAt)/20)
 	return w.clockValue + (now - w.clockReadAt) + duration
