Workers for long-running tasks are asked for before those of all other pools

Cause: each pool asked for its long-running tasks after the on-time jobs of the pools before it, which are ordered by name.

Change: the needs of long-running tasks are served for all pools first.

Test: TestLongRunningTaskComesBeforeOnTimeJobs, failed before: 1 of 2 tasks running.

--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -11,13 +11,16 @@
 	"samphirekeel.example/keel/provider"
 )
 
-// scaleUp moves instances into pools that fall short. Jobs that can still meet their objective are served first.
+// scaleUp moves instances into pools that fall short: first for long-running tasks that need another worker, then for jobs
+// that can still meet their objective, then for all.
 func (s *Scheduler) scaleUp(demands []*demand, now time.Duration) {
 	s.fleet.scarce = false
 	for _, d := range demands {
-		s.scaleUpPool(demands, d, d.onTimeShortfall(), anyInstance, true, now)
 		s.scaleUpPool(demands, d, d.missingLongRunning(s.instanceCapacity()), d.pool.missing.suitsLongRunning, true, now)
 	}
+	for _, d := range demands {
+		s.scaleUpPool(demands, d, d.onTimeShortfall(), anyInstance, true, now)
+	}
 	for _, d := range demands {
 		s.scaleUpPool(demands, d, d.shortfall(), anyInstance, false, now)
 	}
