A late start order is stopped before its worker gets another lease

A start order without a response can be carried out seconds later. Since a silent worker's lease expires, its run in doubt is removed then and the task starts elsewhere, but no stop order had been accepted for it. Once the worker responds and has a new lease, it carries out the late order under the same epoch, and the task runs twice.

The scheduler keeps such runs when it removes them with the lease or with the worker, and orders the worker to stop them as soon as it responds. Until these orders are accepted the worker gets neither a lease nor tasks. They are kept for a worker that is removed and registers again.

--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -1161,3 +1161,57 @@
 		assert.Equal(t, b.fleet.Starts, 1)
 	})
 }
+
+// Guards against a second run of a task. A start order is carried out ten seconds after it was sent; by then its worker
+// has been unresponsive for longer than its lease, the task runs elsewhere, and the worker has a new lease.
+func TestLateStartAfterExpiredLease(t *testing.T) {
+	tests := []struct {
+		name string
+		// unregistered makes the worker's registration expire meanwhile.
+		unregistered bool
+	}{{"registered", false}, {"unregistered", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				cut := func(cut bool) {
+					b.fleet.SetPartitioned("leader", "a", cut)
+					if test.unregistered {
+						b.fleet.SetStorePartitioned("a", cut)
+					}
+				}
+				inner := b.fleet.WorkerClient("leader").Start
+				first := true
+				b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+					if !first {
+						return inner(ctx, to, o)
+					}
+					first = false
+					cut(true)
+					time.AfterFunc(10*time.Second, func() {
+						late, cancel := context.WithTimeout(context.Background(), time.Second)
+						defer cancel()
+						_, _ = inner(late, to, o)
+					})
+					<-ctx.Done()
+					return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
+				}
+				b.submit(longRunningJob(1, 1), 0)
+				time.Sleep(300 * time.Millisecond)
+				b.addInstanceIn("m2", "b")
+				time.Sleep(workerLease + 1500*time.Millisecond)
+				cut(false)
+				// More tasks than the other worker has room for, so that this one gets a lease.
+				b.submit(singleStepJob("00000000000000a2", "p", 24, 5*time.Second), 5*time.Second)
+				time.Sleep(15 * time.Second)
+				running, total := b.checker.LongRunningCounts()
+				assert.Equal(t, running, total)
+				state := work.State("")
+				b.onLoop(func() { state, _ = b.s.State("00000000000000a2") })
+				assert.Equal(t, state, work.Completed)
+			})
+		})
+	}
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -37,7 +37,7 @@
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
 	before := w.leaseExpiry
-	if w.fenced && w.unresponsiveSince == 0 {
+	if w.fenced && w.unresponsiveSince == 0 && len(s.lateStarts[w.ID]) == 0 {
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && w.hasConfirmedRun() {
 			order.Wait = renewWait
@@ -124,10 +124,12 @@
 	if w.unresponsiveSince != 0 {
 		s.Log.Write(event.WorkerHeard, event.Fields{"worker": w.ID, "silent_ms": (s.Now() - w.unresponsiveSince).Milliseconds()})
 		w.unresponsiveSince = 0
+		s.stopLateStarts(w)
 	}
 	if !w.fenced {
 		w.fenced = true
 		delete(s.unfenced, w.ID)
+		s.stopLateStarts(w)
 	}
 }
 
@@ -204,13 +206,18 @@
 }
 
 // expireWorkerLease removes the runs of a worker whose lease has expired, because none of them can still be in progress.
+// A start order that had no response may be carried out later, if the worker has got another lease by then.
 func (s *Scheduler) expireWorkerLease(w *workerState) {
 	for _, r := range sortedRuns(w.runs) {
+		s.recordLateStart(r)
 		s.removeRun(r, "worker lease expired")
 	}
 	clear(w.orphans)
 	delete(s.unfenced, w.ID)
 	w.leaseExpiry = 0
+	if w.unresponsiveSince == 0 {
+		s.stopLateStarts(w)
+	}
 	if !w.registered {
 		s.removeWorker(w, "its lease has expired and its registration was removed")
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -390,6 +390,53 @@
 	}
 }
 
+// recordLateStart records a run that is removed although its start order may still be carried out.
+func (s *Scheduler) recordLateStart(r *run) {
+	if r.confirmedAt != 0 {
+		return
+	}
+	late := s.lateStarts[r.worker.ID]
+	if late == nil {
+		late = make(map[work.TaskID]int64)
+		s.lateStarts[r.worker.ID] = late
+	}
+	late[r.task.id()] = r.number
+}
+
+// stopLateStarts sends the orders after which the worker no longer carries out its late start orders.
+func (s *Scheduler) stopLateStarts(w *workerState) {
+	for id, number := range s.lateStarts[w.ID] {
+		s.sendLateStartStop(w, worker.Run{Task: id, Run: number})
+	}
+}
+
+func (s *Scheduler) sendLateStartStop(w *workerState, late worker.Run) {
+	isPending := func() bool { return !w.removed && s.lateStarts[w.ID][late.Task] == late.Run }
+	s.stops.do(func() {
+		if !isPending() || w.unresponsiveSince != 0 {
+			return
+		}
+		order := worker.StopOrder{Task: late.Task, Run: late.Run, Token: s.Epoch}
+		s.callStop(w.target(), order, func(reply worker.Reply, err error) {
+			switch {
+			case !isPending():
+			case err == nil && reply.Refusal == worker.OtherBoot:
+				s.removeWorker(w, "another worker responds at its address")
+			case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
+				delete(s.lateStarts[w.ID], late.Task)
+				s.schedulePlan()
+			default:
+				// An unresponsive worker gets the order once it responds.
+				s.after(stopRetry, func() {
+					if isPending() && w.unresponsiveSince == 0 {
+						s.sendLateStartStop(w, late)
+					}
+				})
+			}
+		})
+	})
+}
+
 // stopOrphan stops a run that no open job needs.
 func (s *Scheduler) stopOrphan(w *workerState, live worker.Run) {
 	if w.orphans[live.Task] == live.Run {
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -10,6 +10,7 @@
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
+	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
 )
 
@@ -61,6 +62,10 @@
 	workers        map[string]*workerState
 	// registrations holds the registrations in the store by worker, those of removed workers included.
 	registrations map[string]storedRegistration
+	// lateStarts holds, by worker and task, runs that were removed although their start order may still be carried out.
+	// The worker gets neither a lease nor tasks until it has accepted an order to stop each of them. It may have been
+	// removed and registered again meanwhile.
+	lateStarts map[string]map[work.TaskID]int64
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
@@ -110,6 +115,7 @@
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
+	s.lateStarts = make(map[string]map[work.TaskID]int64)
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -297,6 +297,7 @@
 	w.removed = true
 	s.Log.Write(event.WorkerGone, event.Fields{"worker": w.ID, "reason": reason, "runs": len(w.runs)})
 	for _, r := range sortedRuns(w.runs) {
+		s.recordLateStart(r)
 		s.removeRun(r, "worker has ended")
 	}
 	clear(w.orphans)
@@ -338,5 +339,5 @@
 // available reports whether the worker may get tasks, apart from being reclaimed and from failures on it.
 func (s *Scheduler) available(w *workerState, now time.Duration) bool {
 	return w.registered && w.fenced && w.rostered && !w.removed && !w.Draining && !w.orderPending && w.unresponsiveSince == 0 &&
-		len(w.orphans) == 0 && now >= w.avoidUntil
+		len(w.orphans)+len(s.lateStarts[w.ID]) == 0 && now >= w.avoidUntil
 }
