The report of waiting tasks costs the control loop milliseconds, whatever the backlog

Cause: the report compared each waiting task with each worker of its pool if a constraint kept it off them. With 1,100 workers and 8,000 such tasks that held the loop, which renews leases and sends orders, for 65 ms each second.

Change: the tasks of a step share the cause of the one that has waited longest, and only the 32 steps of a pool that have waited longest are compared with workers; the others are reported as not examined.

--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -13,6 +13,9 @@
 	waitReportInterval = time.Second
 	// minReportedWait is how long a task must have waited to be reported; shorter waits are part of each start.
 	minReportedWait = 2 * time.Second
+	// maxExplainedSteps is the maximum number of steps of a pool for which a report compares tasks with workers: those
+	// whose tasks have waited longest.
+	maxExplainedSteps = 32
 )
 
 // waitCause is the reason why a task whose turn has come has no run that is known to be in progress.
@@ -34,6 +37,8 @@
 	waitOrders       waitCause = "orders_in_flight"
 	// waitNone means that a worker has room for the task and may run it.
 	waitNone waitCause = "none"
+	// waitUnexplained is the cause of tasks beyond maxExplainedSteps.
+	waitUnexplained waitCause = "not_examined"
 )
 
 // wait is what holds a task.
@@ -84,12 +89,15 @@
 
 // collectWaits returns the waits by pool and cause, ordered by both.
 func (s *Scheduler) collectWaits(now time.Duration) []*waitGroup {
-	c := &waitCollector{s: s, now: now, planners: make(map[*pool]*planner), groups: make(map[waitKey]*waitGroup)}
+	c := &waitCollector{s: s, now: now, groups: make(map[waitKey]*waitGroup), unplaced: make(map[*pool][]*unplacedStep)}
 	for _, j := range s.jobs {
 		if j.open() {
 			c.addJob(j)
 		}
 	}
+	for p, steps := range c.unplaced {
+		c.addUnplaced(p, steps)
+	}
 	groups := make([]*waitGroup, 0, len(c.groups))
 	for _, g := range c.groups {
 		groups = append(groups, g)
@@ -102,10 +110,16 @@
 
 // waitCollector collects the waits of one report.
 type waitCollector struct {
-	s        *Scheduler
-	now      time.Duration
-	planners map[*pool]*planner
-	groups   map[waitKey]*waitGroup
+	s      *Scheduler
+	now    time.Duration
+	groups map[waitKey]*waitGroup
+	// unplaced holds the steps with tasks that wait for a worker.
+	unplaced map[*pool][]*unplacedStep
+}
+
+// unplacedStep is a step with tasks that wait for a worker, the one that has waited longest first.
+type unplacedStep struct {
+	tasks []*task
 }
 
 func (c *waitCollector) addJob(j *job) {
@@ -122,24 +136,26 @@
 }
 
 func (c *waitCollector) addStep(j *job, step *stepState) {
+	unplaced := &unplacedStep{}
 	for _, t := range step.tasks {
 		if t.done {
 			continue
 		}
 		held, waits := t.heldByRun()
-		if !waits {
-			continue
-		}
 		if len(t.runs) == 0 {
-			held = wait{since: t.readySince}
+			held = c.explain(j, t)
 		}
-		if c.now-held.since < minReportedWait {
-			continue
-		}
-		if held.cause == "" {
-			c.explain(j, t, &held)
+		switch {
+		case !waits || c.now-held.since < minReportedWait:
+		case held.cause != "":
+			c.add(t, held)
+		default:
+			unplaced.tasks = append(unplaced.tasks, t)
 		}
-		c.add(j, t, held)
+	}
+	if len(unplaced.tasks) > 0 {
+		slices.SortFunc(unplaced.tasks, func(a, b *task) int { return cmp.Compare(a.readySince, b.readySince) })
+		c.unplaced[j.pool] = append(c.unplaced[j.pool], unplaced)
 	}
 }
 
@@ -162,33 +178,48 @@
 	return held, true
 }
 
-// explain determines what holds a task without runs.
-func (c *waitCollector) explain(j *job, t *task, held *wait) {
+// explain returns what holds a task without runs, with an empty cause if that takes a comparison with the workers.
+func (c *waitCollector) explain(j *job, t *task) wait {
+	held := wait{since: t.readySince}
 	switch {
 	case !c.s.LeaseValid():
 		held.cause = waitLeaderLease
-		return
 	case j.queue == nil || j.pool == nil:
 		held.cause = waitQueue
-		return
 	case c.now < t.notBefore:
 		held.cause, held.until = waitBackoff, t.notBefore
-		return
 	}
-	pl := c.planners[j.pool]
-	if pl == nil {
-		pl = c.s.newPlanner(j.pool, c.now)
-		c.planners[j.pool] = pl
+	return held
+}
+
+// addUnplaced adds the tasks of a pool that wait for a worker. All tasks of a step get the cause of the one that has
+// waited longest.
+func (c *waitCollector) addUnplaced(p *pool, steps []*unplacedStep) {
+	slices.SortFunc(steps, func(a, b *unplacedStep) int { return cmp.Compare(a.tasks[0].readySince, b.tasks[0].readySince) })
+	pl := c.s.newPlanner(p, c.now)
+	for n, step := range steps {
+		held := wait{cause: waitUnexplained}
+		if n < maxExplainedSteps {
+			held = c.explainUnplaced(pl, step.tasks[0])
+		}
+		for _, t := range step.tasks {
+			held.since = t.readySince
+			c.add(t, held)
+		}
 	}
-	blocker := pl.unfencedWorkerFor(j)
+}
+
+// explainUnplaced returns what keeps the planner from placing the task.
+func (c *waitCollector) explainUnplaced(pl *planner, t *task) wait {
+	blocker := pl.unfencedWorkerFor(t.job())
 	if blocker != nil && !t.step.spec.Speculative {
-		held.cause, held.worker, held.until = waitUnfenced, blocker.ID, blocker.leaseExpiry
-		return
+		return wait{cause: waitUnfenced, worker: blocker.ID, until: blocker.leaseExpiry}
 	}
-	held.cause = pl.placementWait(t)
-	if held.cause == waitNone && c.s.starts.held {
-		held.cause = waitOrders
+	cause := pl.placementWait(t)
+	if cause == waitNone && c.s.starts.held {
+		cause = waitOrders
 	}
+	return wait{cause: cause}
 }
 
 // placementWait returns the reason why no usable worker of the pool can run the task now, or waitNone if one can.
@@ -229,7 +260,8 @@
 	return cause
 }
 
-func (c *waitCollector) add(j *job, t *task, held wait) {
+func (c *waitCollector) add(t *task, held wait) {
+	j := t.job()
 	key := waitKey{pool: j.Queue, cause: held.cause}
 	if j.pool != nil {
 		key.pool = j.pool.name
