The end of a silent worker's lease outlives the leader

With leaders that change more often than every 6 s the wait doesn't end while the instance list can't be read.

Cause: a new leader doesn't know since when a worker is silent. It has to assume that its predecessor extended the lease until the end, and waits for a whole lease from its own takeover.

Change: once a worker has been silent for a second, the leader stores in the roster when its lease ends, by the store's clock. A later leader uses that if no leader has been ready in between, which the guards' earlier epochs show; rows of earlier versions have no such end. Before the lease is extended again, the end is removed from the roster: a worker that responds gets neither a lease nor tasks until that is stored.

With it, found by reviewing: a slow clock that was read long ago made a lease up to 0.3 s longer than a later leader assumes, and a renewal that wasn't sent could take back what a start order had granted meanwhile.

Tests: TestLeaseEndOutlivesLeaders failed before (17.6 s from the loss of the worker instead of under 12), TestLeaseOnSlowClock and TestFailedRenewalKeepsLeaseOfStart too; TestLeaseEndIsClearedBeforeExtension guards the other side.

--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -102,6 +103,21 @@
 	Instance   string `json:"instance"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// Epoch is the epoch under which the row was written, and Change its number there; both are 0 in rows of earlier
+	// versions.
+	Epoch  int64 `json:"epoch,omitempty"`
+	Change int64 `json:"change,omitempty"`
+	// LeaseEndMillis is the time by the store's clock at which all leases on the worker have expired, 0 if they may be
+	// extended.
+	LeaseEndMillis int64 `json:"lease_end,omitempty"`
+}
+
+// Merge returns the later of two rows of a worker from different partitions.
+func (r RosterRecord) Merge(other RosterRecord) RosterRecord {
+	if cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Change, other.Change)) >= 0 {
+		return r
+	}
+	return other
 }
 
 // WaveProgress is the stored progress of a wave.
--- a/keel/ledger/load.go
+++ b/keel/ledger/load.go
@@ -113,7 +113,7 @@
 		return decodeInto(row, c.JobRecords, row.Name, JobRecord.Merge)
 	case Roster:
 		c.RosterRows[row.Name] = append(c.RosterRows[row.Name], table.Condition{Key: row.Key, Version: row.Version})
-		return decodeInto(row, c.Roster, row.Name, func(a, _ RosterRecord) RosterRecord { return a })
+		return decodeInto(row, c.Roster, row.Name, RosterRecord.Merge)
 	}
 	number, err := strconv.ParseInt(row.Name, 10, 64)
 	if err != nil {
@@ -136,13 +136,19 @@
 	return nil
 }
 
-// RaiseGuard writes the epoch to the guard of one partition and returns the guard's new version, which makes all writes
-// conditional on an earlier version fail; it fails with kind Conflict if the guard has a later epoch.
-func RaiseGuard(ctx context.Context, store *table.Store, partition string, epoch int64) (uint64, error) {
+// Guard is a guard that was raised, with its new version and the epoch that it had before, 0 if there was none.
+type Guard struct {
+	Version       uint64
+	PreviousEpoch int64
+}
+
+// RaiseGuard writes the epoch to the guard of one partition, which makes all writes conditional on an earlier version
+// fail; it fails with kind Conflict if the guard has a later epoch.
+func RaiseGuard(ctx context.Context, store *table.Store, partition string, epoch int64) (Guard, error) {
 	k := guardKey(partition)
 	page, err := store.Read(ctx, table.Range{Table: k.Table, Partition: partition, From: k.Name, Limit: 1})
 	if err != nil {
-		return 0, err
+		return Guard{}, err
 	}
 	var previous table.Row
 	var current struct {
@@ -152,15 +158,15 @@
 		previous = page.Rows[0]
 		err = json.Unmarshal(previous.Value, &current)
 		if err != nil {
-			return 0, fault.Wrap(fault.Internal, err, "decode ledger guard")
+			return Guard{}, fault.Wrap(fault.Internal, err, "decode ledger guard")
 		}
 	}
 	if current.Epoch > epoch {
-		return 0, fault.New(fault.Conflict, "ledger guard has epoch %d, later than this leader's", current.Epoch)
+		return Guard{}, fault.New(fault.Conflict, "ledger guard has epoch %d, later than this leader's", current.Epoch)
 	}
 	result, err := store.Commit(ctx, table.Txn{
 		Conditions: []table.Condition{{Key: k, Version: previous.Version}},
 		Writes:     []table.Write{{Key: k, Value: Encode(map[string]int64{"epoch": epoch})}},
 	})
-	return result.Version, err
+	return Guard{Version: result.Version, PreviousEpoch: current.Epoch}, err
 }
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -149,21 +149,22 @@
 	call(l.s, l.timeout(), func(ctx context.Context) (table.Result, error) { return l.s.Store.Commit(ctx, b.txn) },
 		func(result table.Result, err error) {
 			l.latency = l.s.Now() - now
+			l.s.storeClock.observe(result.Now, now)
 			l.handleCommit(b, result.Version, err)
 		})
 }
 
 // raiseGuard raises the partition's guard, so that earlier writes with unknown outcome can no longer take effect.
 func (l *ledgerWriter) raiseGuard(partition string) {
-	call(l.s, l.timeout(), func(ctx context.Context) (uint64, error) {
+	call(l.s, l.timeout(), func(ctx context.Context) (ledger.Guard, error) {
 		return ledger.RaiseGuard(ctx, l.s.Store, partition, l.s.Epoch)
-	}, func(version uint64, err error) {
+	}, func(guard ledger.Guard, err error) {
 		l.writing = false
 		if err != nil {
 			l.switchPartition(partition, 0, err)
 			return
 		}
-		l.recordGuard(partition, version)
+		l.recordGuard(partition, guard.Version)
 		l.flush()
 	})
 }
@@ -433,15 +434,15 @@
 		return
 	}
 	l.fencing[partition] = true
-	call(s, callTimeout, func(ctx context.Context) (uint64, error) {
+	call(s, callTimeout, func(ctx context.Context) (ledger.Guard, error) {
 		return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
-	}, func(version uint64, err error) {
+	}, func(guard ledger.Guard, err error) {
 		delete(l.fencing, partition)
 		if err != nil {
 			l.inDoubt[partition] = true
 			return
 		}
-		l.recordGuard(partition, version)
+		l.recordGuard(partition, guard.Version)
 		s.removeStale(partition)
 	})
 }
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -37,21 +37,21 @@
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
 	before := w.leaseExpiry
-	if w.fenced && w.unresponsiveSince == 0 && len(s.lateStarts[w.ID]) == 0 {
+	if w.fenced && w.unresponsiveSince == 0 && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && w.hasConfirmedRun() {
 			order.Wait = renewWait
 			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
 	}
-	target, extended := w.target(), w.leaseExpiry
+	target, extensions := w.target(), w.extensions
 	call(s, order.Wait+renewTimeoutMargin, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) },
 		func(status worker.Status, err error) {
 			w.renewing = false
 			if w.removed {
 				return
 			}
-			if err != nil && fault.As(err).Outcome() == fault.NotRun && w.leaseExpiry == extended {
+			if err != nil && fault.As(err).Outcome() == fault.NotRun && w.extensions == extensions {
 				w.leaseExpiry = before
 			}
 			s.Metrics.addRenewal()
@@ -131,6 +131,7 @@
 		delete(s.unfenced, w.ID)
 		s.stopLateStarts(w)
 	}
+	s.clearLeaseEnd(w)
 }
 
 // applyStatus applies the worker's list of runs. The list may lack runs that were confirmed after sent, the time of the
@@ -194,6 +195,7 @@
 // registration, and renews the leases that are due for renewal.
 func (s *Scheduler) checkWorkers(now time.Duration) {
 	for _, w := range s.workers {
+		s.recordLeaseEnd(w, now)
 		switch {
 		case w.leaseExpiry != 0 && now > w.leaseExpiry:
 			s.expireWorkerLease(w)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -52,8 +52,10 @@
 	// leader may have started tasks of jobs whose submission has a lower version.
 	guards   map[string]uint64
 	minGuard uint64
-	ready    bool
-	jobs     map[string]*job
+	// lastReadyEpoch is the last earlier epoch whose leader may have been ready: it had raised all guards.
+	lastReadyEpoch int64
+	ready          bool
+	jobs           map[string]*job
 	// leaseInvalid is set if the last lease check failed.
 	leaseInvalid bool
 	// pendingCancels holds the jobs whose cancel was read before their submission.
@@ -69,9 +71,12 @@
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
-	fleet    fleetState
-	waves    waveState
-	outages  outageTracker
+	// rosterChanges counts the roster rows that were written.
+	rosterChanges int64
+	storeClock    storeClock
+	fleet         fleetState
+	waves         waveState
+	outages       outageTracker
 	// unfenced holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch.
 	unfenced map[string]*workerState
 
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -37,15 +37,17 @@
 // so that a failed call is repeated only for its partition.
 func (s *Scheduler) raiseGuards() {
 	s.guards = make(map[string]uint64)
+	s.lastReadyEpoch = s.Epoch - 1
 	partitions := ledger.LeaderPartitions()
 	for _, partition := range partitions {
-		takeoverStep(s, "guard_"+partition, func(ctx context.Context) (uint64, error) {
+		takeoverStep(s, "guard_"+partition, func(ctx context.Context) (ledger.Guard, error) {
 			return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
-		}, func(version uint64) {
-			s.guards[partition] = version
-			if s.minGuard == 0 || version < s.minGuard {
-				s.minGuard = version
+		}, func(guard ledger.Guard) {
+			s.guards[partition] = guard.Version
+			if s.minGuard == 0 || guard.Version < s.minGuard {
+				s.minGuard = guard.Version
 			}
+			s.lastReadyEpoch = min(s.lastReadyEpoch, guard.PreviousEpoch)
 			if len(s.guards) == len(partitions) {
 				s.loadStore()
 			}
@@ -84,7 +86,8 @@
 	for _, bad := range contents.ledger.Unreadable {
 		s.Log.Write(event.RowUnreadable, event.Fields{"table": bad.Table, "key": bad.Name, "version": bad.Version, "reason": bad.Reason})
 	}
-	s.loadRoster(contents.ledger.Roster, contents.ledger.RosterRows)
+	s.storeClock.observe(contents.registrations.Now, s.began)
+	s.loadRoster(contents)
 	s.ready = true
 	s.ledger.init(s)
 	for _, submission := range contents.ledger.Jobs {
@@ -111,12 +114,11 @@
 }
 
 // loadRoster adds the workers that earlier leaders may have started tasks on.
-func (s *Scheduler) loadRoster(roster map[string]ledger.RosterRecord, rows map[string][]table.Condition) {
-	for id, record := range roster {
+func (s *Scheduler) loadRoster(contents snapshot) {
+	for id, record := range contents.ledger.Roster {
 		w := s.ensureWorker(worker.Registration{ID: id, Address: record.Address, Instance: record.Instance, DataCentre: record.DataCentre})
-		w.rostered, w.rosterRows = true, rows[id]
-		// The previous leader may have granted a full worker lease just before its own lease expired.
-		w.leaseExpiry = s.began + s.maxLeaseTime()
+		w.rostered, w.rosterRows = true, contents.ledger.RosterRows[id]
+		w.leaseExpiry = s.inheritedLeaseEnd(record, contents.registrations.Now)
 		s.unfenced[id] = w
 		if s.workerOf[w.Instance] == nil {
 			s.workerOf[w.Instance] = w
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
-	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
@@ -51,6 +50,9 @@
 	rostered, rostering bool
 	// rosterRows holds the keys and versions of the worker's roster rows.
 	rosterRows []table.Condition
+	// leaseEndStored is set while the roster may say when the worker's lease ends; until that is cleared the worker gets
+	// neither a lease nor tasks. rosterWriting is set while the row is being written.
+	leaseEndStored, rosterWriting bool
 	// fenced is set once the worker has accepted this epoch, after which it rejects orders of earlier leaders.
 	fenced  bool
 	removed bool
@@ -69,6 +71,8 @@
 	clockValue, clockReadAt time.Duration
 	// leaseExpiry is when everything on the worker is certain to have ended, unless the lease is extended.
 	leaseExpiry time.Duration
+	// extensions counts the orders that extended the lease.
+	extensions int
 
 	runs map[work.TaskID]*run
 	// orphans holds runs, by task, that no open job needs and that are being stopped. Their size is unknown, so a
@@ -126,7 +130,10 @@
 		duration = min(startLease+s.starts.timeout()-orderTimeout, duration)
 	}
 	w.leaseExpiry = max(w.leaseExpiry, now+time.Duration(float64(duration)/(1-maxClockDrift))+orderLatency+(now-w.clockReadAt)/20)
-	return w.clockValue + (now - w.clockReadAt) + duration
+	w.extensions++
+	// A slow clock must not make the lease longer than maxLeaseTime.
+	elapsed := time.Duration(float64(now-w.clockReadAt) * (1 - maxClockDrift))
+	return w.clockValue + elapsed + duration
 }
 
 // hasConfirmedRun reports whether the worker has responded to the start order of one of its runs or has listed one.
@@ -273,20 +280,7 @@
 		return
 	}
 	w.rostering = true
-	s.ledger.writeRow(table.Write{
-		Key:   ledger.RosterKey(w.ID),
-		Value: ledger.Encode(ledger.RosterRecord{Instance: w.Instance, Address: w.Address, DataCentre: w.DataCentre}),
-	}, func(partition string, version uint64) {
-		w.rostered, w.rostering = true, false
-		row := table.Condition{Key: ledger.InPartition(partition, ledger.RosterKey(w.ID)), Version: version}
-		switch {
-		case !w.removed:
-			w.rosterRows = append(w.rosterRows, row)
-		case s.workers[w.ID] == nil:
-			s.ledger.removeRows([]table.Condition{row})
-		}
-		s.schedulePlan()
-	})
+	s.writeRoster(w, 0, func() { w.rostered, w.rostering = true, false })
 }
 
 // removeWorker removes a worker that has ended, with all of its runs.
@@ -338,6 +332,6 @@
 
 // available reports whether the worker may get tasks, apart from being reclaimed and from failures on it.
 func (s *Scheduler) available(w *workerState, now time.Duration) bool {
-	return w.registered && w.fenced && w.rostered && !w.removed && !w.Draining && !w.orderPending && w.unresponsiveSince == 0 &&
+	return w.registered && w.fenced && w.rostered && !w.leaseEndStored && !w.removed && !w.Draining && !w.orderPending && w.unresponsiveSince == 0 &&
 		len(w.orphans)+len(s.lateStarts[w.ID]) == 0 && now >= w.avoidUntil
 }
