Waves are started and changed on newer rows if the entry's replica would reject them

Cause: the entry that is asked to start a wave checks it against its replica, which lags behind the table. If another entry had shown the pool's instances already, this one rejected the wave with not_exist (no such pool, or no instances). TestProcesses/freeze starts its wave in the background at entry two as soon as entry one shows the pool's six instances, and looks at the result only at its end: after a rejection there is no wave, and the script reports that no instance rebooted within 20 s. No duty, lease or peer is involved in that. A change of state of a wave that the entry doesn't know yet was rejected in the same way.

Before a rejection with not_exist or conflict the entry now reads the newer rows and decides again, as changes of settings do already. If the rows can't be read, the request fails as platform_unavailable, not run.

--- a/entry/daemon/operators.go
+++ b/entry/daemon/operators.go
@@ -32,6 +32,7 @@
 	d.registry.MustRegister(&repair.Metrics{Read: d.readView})
 	api := &operator.API{
 		Operators: d.Config.Operators, Client: d.Client, Registry: d.registry, Ready: d.checkReady, ReadView: d.readView,
+		RefreshView:       d.refreshView,
 		Store:             &settings.Store{Client: d.Client, CachedState: d.currentSettings},
 		Log:               d.Log,
 		Usage:             d.usage(),
--- a/entry/daemon/replica.go
+++ b/entry/daemon/replica.go
@@ -80,13 +80,8 @@
 	d.replica.reading = true
 	sentAt := time.Now()
 	after := d.view.Cache().Through()
-	timeout := time.Duration(d.Config.Platform.Timeout)
 	control.Call(d.loop, replicaReadTimeout,
-		func(ctx context.Context) (platform.ScanResult, error) {
-			return readPages(ctx, timeout, after, func(ctx context.Context, after uint64) (platform.ScanResult, error) {
-				return d.Client.Scan(ctx, platform.ScanRequest{Prefix: fleet.Prefix, After: after})
-			})
-		},
+		func(ctx context.Context) (platform.ScanResult, error) { return d.scanRows(ctx, after) },
 		func(result platform.ScanResult, err error) {
 			d.replica.reading = false
 			if err == nil {
@@ -100,6 +95,29 @@
 		})
 }
 
+// refreshView reads the control rows that the table has now and waits until they are applied; it must not be called on
+// the control loop.
+func (d *Daemon) refreshView(ctx context.Context) error {
+	var after uint64
+	err := d.readView(ctx, func(view *fleet.View) { after = view.Cache().Through() })
+	if err != nil {
+		return err
+	}
+	result, err := d.scanRows(ctx, after)
+	if err != nil {
+		return err
+	}
+	return d.readView(ctx, func(*fleet.View) { d.applyRows(after, result) })
+}
+
+// scanRows reads the control rows that the table has after the given version.
+func (d *Daemon) scanRows(ctx context.Context, after uint64) (platform.ScanResult, error) {
+	timeout := time.Duration(d.Config.Platform.Timeout)
+	return readPages(ctx, timeout, after, func(ctx context.Context, after uint64) (platform.ScanResult, error) {
+		return d.Client.Scan(ctx, platform.ScanRequest{Prefix: fleet.Prefix, After: after})
+	})
+}
+
 // readPages reads all pages of a scan and joins them, since a single page is not a consistent state of the table. It
 // fails on the first error while it has no rows yet, and otherwise makes up to pageAttempts attempts to read a page.
 func readPages(
--- a/keel/operator/api.go
+++ b/keel/operator/api.go
@@ -47,6 +47,8 @@
 	Ready func() error
 	// ReadView runs f on the control loop and waits for it; it fails with kind NotReady if the loop has stopped.
 	ReadView func(ctx context.Context, f func(*fleet.View)) error
+	// RefreshView reads the control rows that are newer than the view and waits until the view contains them.
+	RefreshView func(ctx context.Context) error
 	// Members returns the registered entries; it is called on the control loop.
 	Members func() []duty.Member
 	// ForgetEntryTxn returns the transaction that deletes a lapsed entry's row; it is called on the control loop.
--- a/keel/operator/wave.go
+++ b/keel/operator/wave.go
@@ -12,6 +12,7 @@
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/fleet"
+	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/settings"
 	"samphirekeel.example/keel/wave"
 )
@@ -90,20 +91,20 @@
 		return nil, err
 	}
 	var record wave.Record
-	var checkErr error
-	err = a.ReadView(callCtx, func(view *fleet.View) {
-		checkErr = wave.Check(request.ID, request.Pools, view.Settings().Tree, view.Waves())
+	err = a.decideOnView(callCtx, func(view *fleet.View) error {
+		err := wave.Check(request.ID, request.Pools, view.Settings().Tree, view.Waves())
+		if err != nil {
+			return err
+		}
 		record = wave.New(request.ID, op.Name, request.Pools, view, time.Now())
+		if record.Instances == 0 {
+			return fault.New(fault.NotExist, "pools %v have no instances", request.Pools)
+		}
+		return nil
 	})
-	if err == nil {
-		err = checkErr
-	}
 	if err != nil {
 		return nil, err
 	}
-	if record.Instances == 0 {
-		return nil, fault.New(fault.NotExist, "pools %v have no instances", request.Pools)
-	}
 	_, err = a.Client.Commit(callCtx, wave.Create(record))
 	if fault.IsKind(err, fault.Conflict) {
 		return nil, fault.New(fault.Conflict, "wave %q already exists", request.ID)
@@ -116,6 +117,29 @@
 	return record, err
 }
 
+// decideOnView runs decide on the control loop. The view lags behind the table, so after a rejection that newer rows may
+// lift it reads them and runs decide once more.
+func (a *API) decideOnView(callCtx context.Context, decide func(*fleet.View) error) error {
+	err := a.runOnView(callCtx, decide)
+	if !fault.IsKind(err, fault.NotExist) && !fault.IsKind(err, fault.Conflict) {
+		return err
+	}
+	err = a.RefreshView(callCtx)
+	if err != nil {
+		return fault.As(err).WithOutcome(fault.NotRun)
+	}
+	return a.runOnView(callCtx, decide)
+}
+
+func (a *API) runOnView(callCtx context.Context, decide func(*fleet.View) error) error {
+	var decideErr error
+	err := a.ReadView(callCtx, func(view *fleet.View) { decideErr = decide(view) })
+	if err != nil {
+		return err
+	}
+	return decideErr
+}
+
 func authorizeMaintenance(op Operator, pools []string) error {
 	for _, name := range pools {
 		if !op.Subtree.Covers(settings.Path(name)) {
@@ -140,19 +164,19 @@
 	if !slices.Contains([]wave.State{wave.Running, wave.Paused, wave.Aborted}, request.State) {
 		return nil, fault.New(fault.BadRequest, "wave state must be running, paused or aborted, not %q", request.State)
 	}
-	var found wave.Versioned
-	var findErr error
-	err = a.ReadView(callCtx, func(view *fleet.View) { found, findErr = findWave(view, request.ID) })
-	if err == nil {
-		err = findErr
-	}
-	if err == nil {
+	var txn platform.Txn
+	err = a.decideOnView(callCtx, func(view *fleet.View) error {
+		found, err := findWave(view, request.ID)
+		if err != nil {
+			return err
+		}
 		err = authorizeMaintenance(op, found.Value.Pools)
-	}
-	if err != nil {
-		return nil, err
-	}
-	txn, err := wave.SetState(found, request.State, op.Name, time.Now().UnixMilli())
+		if err != nil {
+			return err
+		}
+		txn, err = wave.SetState(found, request.State, op.Name, time.Now().UnixMilli())
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
