Failed pull of rows drops no heartbeats of other peers

An entry that announces a change serves the rows to two peers at once and rejects further requests as busy. A rejected entry cleared the only heartbeat that it kept of peers that are ahead, also if another peer had sent it during the pull, and waited for the next regular heartbeat.

Entries now keep the newest heartbeat of each peer that is ahead, and after a failed pull try the next one.

TestFailedPullTriesNextPeer fails without the change, as the entry never applies the revision.

--- a/entry/daemon/replica.go
+++ b/entry/daemon/replica.go
@@ -36,8 +36,9 @@
 	checkedAt          time.Time
 	reading, readAgain bool
 	pulling            bool
-	// aheadPeer is the newest heartbeat of a peer that has rows that this entry lacks.
-	aheadPeer peer.Heartbeat
+	// aheadPeers holds the newest heartbeat of each peer that has rows that this entry lacks, in the order of arrival.
+	// A pull takes its peer's heartbeat off the list.
+	aheadPeers []peer.Heartbeat
 	// configuredPulls counts the pulls from configured peers before the replica was complete.
 	configuredPulls int
 }
@@ -179,9 +180,11 @@
 		d.adoptCheckTime(heartbeat)
 		return
 	}
-	if heartbeat.AppliedVersion >= d.replica.aheadPeer.AppliedVersion {
-		d.replica.aheadPeer = heartbeat
+	if heartbeat.Address == "" {
+		return
 	}
+	d.replica.aheadPeers = slices.DeleteFunc(d.replica.aheadPeers, func(other peer.Heartbeat) bool { return other.Address == heartbeat.Address })
+	d.replica.aheadPeers = append(d.replica.aheadPeers, heartbeat)
 	d.pullRows()
 }
 
@@ -194,13 +197,37 @@
 	}
 }
 
-// pullRows pulls the missing rows from the peer that is ahead, unless another pull is running.
+// pullRows pulls the missing rows from a peer that is ahead, unless another pull is running.
 func (d *Daemon) pullRows() {
-	ahead := d.replica.aheadPeer
-	if d.replica.pulling || ahead.Address == "" || ahead.AppliedVersion <= d.view.Cache().NewestVersion() && d.replica.complete {
+	if d.replica.pulling {
 		return
 	}
-	d.pullRowsFrom(ahead.Address)
+	ahead, ok := d.takeAheadPeer()
+	if ok {
+		d.pullRowsFrom(ahead.Address)
+	}
+}
+
+// takeAheadPeer removes and returns the heartbeat with the newest rows, the last to arrive of several; it returns false
+// if no peer has rows that this entry lacks.
+func (d *Daemon) takeAheadPeer() (peer.Heartbeat, bool) {
+	newest := d.view.Cache().NewestVersion()
+	peers := slices.DeleteFunc(d.replica.aheadPeers, func(heartbeat peer.Heartbeat) bool {
+		return d.replica.complete && heartbeat.AppliedVersion <= newest
+	})
+	d.replica.aheadPeers = peers
+	if len(peers) == 0 {
+		return peer.Heartbeat{}, false
+	}
+	best := 0
+	for i, heartbeat := range peers {
+		if heartbeat.AppliedVersion >= peers[best].AppliedVersion {
+			best = i
+		}
+	}
+	ahead := peers[best]
+	d.replica.aheadPeers = slices.Delete(peers, best, best+1)
+	return ahead, true
 }
 
 func (d *Daemon) pullRowsFrom(address string) {
@@ -218,12 +245,11 @@
 		},
 		func(result platform.ScanResult, err error) {
 			d.replica.pulling = false
-			if err != nil {
-				// The next heartbeat of a peer that is ahead starts another pull.
-				d.replica.aheadPeer = peer.Heartbeat{}
-				return
+			if err == nil {
+				d.applyRows(after, result)
 			}
-			d.applyRows(after, result)
+			// After a failure, such as the rejection by a peer that serves too many others, this tries the other peers
+			// that are ahead. If there are none, the next heartbeat of one starts another pull.
 			d.pullRows()
 		})
 }
