--- /dev/null
+++ b/keel/schedule/cleanup.go
@@ -0,0 +1,136 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/ledger"
+	"samphirekeel.example/keel/table"
+)
+
+// findCopy reads whether a write of unknown outcome has stored the row in the partition, and then calls done.
+func (l *ledgerWriter) findCopy(e extraRow, partition string) {
+	k := ledger.InPartition(partition, e.write.Key)
+	r := table.Range{Table: k.Table, Partition: partition, From: k.Name, Limit: 1}
+	call(l.s, callTimeout, func(ctx context.Context) (table.Page, error) { return l.s.Store.Read(ctx, r) },
+		func(page table.Page, err error) {
+			switch {
+			case err != nil:
+				l.s.after(stubInterval, func() { l.findCopy(e, partition) })
+			case len(page.Rows) > 0 && page.Rows[0].Name == k.Name:
+				e.done(partition, page.Rows[0].Version)
+			}
+		})
+}
+
+// removeStale removes obsolete rows of one partition.
+func (s *Scheduler) removeStale(partition string) {
+	l := &s.ledger
+	rows := l.stale[partition]
+	rows = rows[:min(len(rows), maxStaleRows)]
+	if len(rows) == 0 {
+		return
+	}
+	if l.inDoubt[partition] {
+		// A write of unknown outcome could store a row again after its removal.
+		s.fenceUnused(partition)
+		return
+	}
+	l.stale[partition] = l.stale[partition][len(rows):]
+	txn := table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, s.guards[partition])}}
+	for _, row := range rows {
+		txn.Conditions = append(txn.Conditions, row)
+		txn.Removals = append(txn.Removals, row.Key)
+	}
+	call(s, callTimeout, func(ctx context.Context) (table.Result, error) { return s.Store.Commit(ctx, txn) },
+		func(result table.Result, err error) {
+			if err == nil {
+				s.after(staleInterval, func() { s.removeStale(partition) })
+				return
+			}
+			// Rows that were written again meanwhile are kept. A removal with unknown outcome is harmless if it takes
+			// effect late, because of its conditions.
+			present := make(map[table.Key]uint64)
+			for _, row := range result.Current {
+				present[row.Key] = row.Version
+			}
+			kept := 0
+			for _, row := range rows {
+				if !fault.IsKind(err, fault.Conflict) || present[row.Key] == row.Version {
+					l.stale[partition] = append(l.stale[partition], row)
+					kept++
+				}
+			}
+			if kept < len(rows) {
+				s.after(staleInterval, func() { s.removeStale(partition) })
+			}
+		})
+}
+
+// fenceUnused raises the guard of a partition that isn't in use, so that obsolete rows can be removed from it.
+func (s *Scheduler) fenceUnused(partition string) {
+	l := &s.ledger
+	if l.fencing[partition] || partition == l.partitions[l.current] {
+		return
+	}
+	l.fencing[partition] = true
+	call(s, callTimeout, func(ctx context.Context) (ledger.Guard, error) {
+		return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
+	}, func(guard ledger.Guard, err error) {
+		delete(l.fencing, partition)
+		if err != nil {
+			l.inDoubt[partition] = true
+			return
+		}
+		l.recordGuard(partition, guard.Version)
+		s.removeStale(partition)
+	})
+}
+
+// cleanUp removes obsolete rows and replaces the submissions of ended jobs with stubs, which hold only a job's ID and
+// digest. It does so at most once per stubInterval.
+func (s *Scheduler) cleanUp(now time.Duration) {
+	l := &s.ledger
+	if now-l.stubbedAt < stubInterval || !s.LeaseValid() {
+		return
+	}
+	l.stubbedAt = now
+	for _, partition := range l.partitions {
+		s.removeStale(partition)
+	}
+	byPartition := make(map[string][]*job)
+	var remaining []*job
+	for _, j := range l.pendingStubs {
+		partition := ledger.PartitionOf(j.ID)
+		if len(byPartition[partition]) < maxStubRows {
+			byPartition[partition] = append(byPartition[partition], j)
+		} else {
+			remaining = append(remaining, j)
+		}
+	}
+	l.pendingStubs = remaining
+	for _, jobs := range byPartition {
+		s.writeStubs(jobs)
+	}
+}
+
+func (s *Scheduler) writeStubs(jobs []*job) {
+	var txn table.Txn
+	for _, j := range jobs {
+		stub := ledger.Stub{ID: j.ID, Digest: j.Digest, Ended: true}
+		txn.Writes = append(txn.Writes, table.Write{Key: ledger.SubmissionKey(j.ID), Value: ledger.Encode(stub)})
+	}
+	call(s, callTimeout, func(ctx context.Context) (table.Result, error) { return s.Store.Commit(ctx, txn) },
+		func(_ table.Result, err error) {
+			if err != nil {
+				s.ledger.pendingStubs = append(s.ledger.pendingStubs, jobs...)
+				return
+			}
+			for _, j := range jobs {
+				j.stubbed = true
+				// Only the state of the ended job is queried from now on.
+				j.occurrences, j.Steps, j.Spec = nil, nil, ""
+			}
+		})
+}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
-	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/work"
 )
 
@@ -196,43 +195,6 @@
 	})
 }
 
-// addMissing counts the additional workers that the unplaced tasks of the step need, unless no instance could run them.
-func (pl *planner) addMissing(step *stepState, tasks int) {
-	if !pl.missing.full() && pl.s.fleet.mayRun(step) {
-		pl.missing.add(step, pl.workersFor(step, tasks))
-	}
-}
-
-// workersFor returns how many additional workers the unplaced tasks need because of the step's constraints. Tasks that
-// only lack capacity count for none, because requiredCapacity covers them, unless one has waited for longer than that
-// takes: then no worker has the free capacity in one piece, or the label.
-func (pl *planner) workersFor(step *stepState, tasks int) int {
-	switch {
-	case step.spec.MaxPerWorker > 0:
-		return (tasks + step.spec.MaxPerWorker - 1) / step.spec.MaxPerWorker
-	case step.spec.LongRunning:
-		return 1
-	case !step.hasWaited(backlogClearTime, pl.now):
-		return 0
-	case step.spec.Gang:
-		perWorker := int(max(1, pl.s.instanceCapacity()/max(1, step.size().MilliCores)))
-		return (tasks + perWorker - 1) / perWorker
-	}
-	return 1
-}
-
-// hasWaited reports whether a task of the step has been able to start for longer than the duration.
-func (st *stepState) hasWaited(duration, now time.Duration) bool {
-	return slices.ContainsFunc(st.tasks, func(t *task) bool {
-		return t.needsRun() && now >= t.notBefore && now-t.readySince > duration
-	})
-}
-
-// suits reports whether an idle worker of the instance could run a task of the step.
-func (st *stepState) suits(i provider.Instance) bool {
-	return i.Capacity.Holds(st.size()) && (st.spec.Label == "" || slices.Contains(i.Labels, st.spec.Label))
-}
-
 // placeGang starts all tasks of a gang step in one pass, or none.
 func (pl *planner) placeGang(step *stepState) {
 	if !pl.s.ensureTickets(step, pl) {
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"samphirekeel.example/keel/provider"
 )
 
 // pool holds a pool's workers and the open jobs of its queues.
@@ -18,53 +16,6 @@
 	missing missing
 }
 
-// missing is a number of additional workers that unplaced tasks need because their steps' constraints, or the
-// fragmentation of free capacity, keep them off the present ones, with these steps.
-type missing struct {
-	workers int
-	// longRunning is the part of workers for long-running tasks.
-	longRunning int
-	steps       []*stepState
-}
-
-// maxMissingSteps is the maximum number of steps for which additional workers are counted in one pass: the first in
-// scheduling order.
-const maxMissingSteps = 16
-
-// full reports whether no further step is counted.
-func (m *missing) full() bool { return len(m.steps) >= maxMissingSteps }
-
-func (m *missing) add(step *stepState, workers int) {
-	if workers > 0 {
-		m.workers = max(m.workers, workers)
-		m.steps = append(m.steps, step)
-		if step.spec.LongRunning {
-			m.longRunning = max(m.longRunning, workers)
-		}
-	}
-}
-
-// merge adds what an earlier pass lacked for steps that still wait.
-func (m *missing) merge(earlier missing) {
-	for _, step := range earlier.steps {
-		if step.waiting > 0 && !m.full() && !slices.Contains(m.steps, step) {
-			m.workers = max(m.workers, earlier.workers)
-			m.longRunning = max(m.longRunning, earlier.longRunning)
-			m.steps = append(m.steps, step)
-		}
-	}
-}
-
-// suits reports whether a new worker of the instance could run a task of one of the steps.
-func (m *missing) suits(i provider.Instance) bool {
-	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.suits(i) })
-}
-
-// suitsLongRunning reports whether a new worker of the instance could run a task of one of the long-running steps.
-func (m *missing) suitsLongRunning(i provider.Instance) bool {
-	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.spec.LongRunning && step.suits(i) })
-}
-
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
