An extension of a lease is never taken back

Cause: a renewal that is certain not to have been sent gave back its extension. A renewal through a relay that fails is tried in another way, and if that can't be sent the error says so, although the relay may have carried out the first attempt. With the relays of a data centre cut off, the leader took leases for expired up to 1.3 s too early.

Change: the extension stays. After a renewal without a response the lease isn't extended until there is one, so that the record still ends. That bound doesn't depend on what the error says.

Test: TestRenewalCarriedOutThoughNotSent, failed before: run 3 starts while an earlier one runs.

--- a/keel/schedule/leaseend_test.go
+++ b/keel/schedule/leaseend_test.go
@@ -149,3 +149,38 @@
 		b.onLoop(func() { b.renew = nil })
 	})
 }
+
+// Guards against a second run beside the first: a renewal through a relay was carried out but failed there, and could not
+// be sent in any other way, so that its extension of the lease was taken back.
+func TestRenewalCarriedOutThoughNotSent(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstanceIn("m2", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		// The other instance stays in the pool.
+		b.fleet.SetServiceUnavailable(true)
+		b.submit(longRunningJob(1, 1), 0)
+		time.Sleep(time.Second)
+		host := b.hosts()[0]
+		inner := b.fleet.WorkerClient("leader").Renew
+		b.onLoop(func() {
+			b.renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+				status, err := inner(ctx, to, o)
+				if to.ID == host.ID {
+					return worker.Status{}, fault.New(fault.Overloaded, "no other way to the worker").WithOutcome(fault.NotRun)
+				}
+				return status, err
+			}
+		})
+		time.Sleep(4 * time.Second)
+		b.fleet.SetPartitioned("leader", host.DataCentre, true)
+		time.Sleep(15 * time.Second)
+		running, total := b.checker.LongRunningCounts()
+		assert.Equal(t, running, total)
+		b.fleet.SetPartitioned("leader", host.DataCentre, false)
+		b.fleet.SetServiceUnavailable(false)
+		b.onLoop(func() { b.renew = nil })
+		time.Sleep(time.Second)
+	})
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -22,8 +22,9 @@
 	})
 }
 
-// renew extends the worker's lease and requests the state of its runs. The lease of an unresponsive worker isn't
-// extended, so that its runs are over when it has expired; nor does the worker hold the request open.
+// renew extends the worker's lease and requests the state of its runs. After a renewal without a response the lease isn't
+// extended before there is one, so that the worker's runs are over when it has expired; nor does the worker hold the
+// request open.
 func (s *Scheduler) renew(w *workerState) {
 	if w.renewing || w.removed {
 		return
@@ -36,30 +37,27 @@
 	now := s.Now()
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
-	before := w.leaseExpiry
-	if w.fenced && w.unresponsiveSince == 0 && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
+	if w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
 		order.LeaseEnd = s.extendLease(w)
 		if len(w.ends) == 0 && w.hasConfirmedRun() {
 			order.Wait = renewWait
 			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
 	}
-	target, extensions := w.target(), w.extensions
+	target := w.target()
 	call(s, order.Wait+renewTimeoutMargin, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) },
 		func(status worker.Status, err error) {
 			w.renewing = false
 			if w.removed {
 				return
 			}
-			if err != nil && fault.As(err).Outcome() == fault.NotRun && w.extensions == extensions {
-				w.leaseExpiry = before
-			}
 			s.Metrics.addRenewal()
 			s.handleRenewal(w, now, status, err)
 		})
 }
 
 func (s *Scheduler) handleRenewal(w *workerState, sent time.Duration, status worker.Status, err error) {
+	w.renewalFailed = err != nil
 	if err != nil {
 		if !fault.IsKind(err, fault.Overloaded) {
 			s.markUnresponsive(w, err)
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -71,8 +71,9 @@
 	clockValue, clockReadAt time.Duration
 	// leaseExpiry is when everything on the worker is certain to have ended, unless the lease is extended.
 	leaseExpiry time.Duration
-	// extensions counts the orders that extended the lease.
-	extensions int
+	// renewalFailed is set while the latest renewal got no response. Whether it was carried out isn't certain, even if it
+	// could not be sent in the end: it may have been sent through a relay before.
+	renewalFailed bool
 
 	runs map[work.TaskID]*run
 	// orphans holds runs, by task, that no open job needs and that are being stopped. Their size is unknown, so a
@@ -130,7 +131,6 @@
 		duration = min(startLease+s.starts.timeout()-orderTimeout, duration)
 	}
 	w.leaseExpiry = max(w.leaseExpiry, now+time.Duration(float64(duration)/(1-maxClockDrift))+orderLatency+(now-w.clockReadAt)/20)
-	w.extensions++
 	// A slow clock must not make the lease longer than maxLeaseTime.
 	elapsed := time.Duration(float64(now-w.clockReadAt) * (1 - maxClockDrift))
 	return w.clockValue + elapsed + duration
