Durations of placement passes and delay of the control loop are recorded

orders_in_flight has the duration of all passes since the last line, that of the longest one, and by how much the busy loop delayed one; the histograms samphirekeel_placement_pass_seconds and samphirekeel_control_loop_delay_seconds have the same.

--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -77,7 +77,9 @@
 	s.Log.Write(event.OrdersInFlight, event.Fields{
 		"starts": s.starts.inFlight, "start_limit": s.starts.limit, "stops": s.stops.inFlight, "stop_limit": s.stops.limit,
 		"stops_held": len(s.stops.waiting), "start_ms": s.starts.latency.Milliseconds(), "stop_ms": s.stops.latency.Milliseconds(), "passes": s.passes,
+		"passes_ms": s.passTimes.took.Milliseconds(), "longest_pass_ms": s.passTimes.longest.Milliseconds(), "loop_delay_ms": s.passTimes.delay.Milliseconds(),
 	})
+	s.passTimes = passTimes{}
 	for _, d := range demands {
 		waiting := 0
 		for j := range d.pool.jobs {
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -31,6 +31,8 @@
 	moves    prometheus.Counter
 	waiting  *prometheus.GaugeVec
 	waits    *prometheus.GaugeVec
+	passes   prometheus.Histogram
+	delays   prometheus.Histogram
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -62,10 +64,23 @@
 	m.waits = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "samphirekeel_longest_task_wait_seconds", Help: "The longest wait of a task that should run, by what holds it.",
 	}, []string{"cause"})
-	registry.MustRegister(m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits)
+	m.passes = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "samphirekeel_placement_pass_seconds", Help: "Duration of a placement pass over all pools, with the moves of instances.", Buckets: buckets,
+	})
+	m.delays = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "samphirekeel_control_loop_delay_seconds", Help: "Time by which a placement pass began after it was due, because the control loop was busy.", Buckets: buckets,
+	})
+	registry.MustRegister(m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
 
+func (m *Metrics) addPass(took, delay time.Duration) {
+	if m != nil {
+		m.passes.Observe(took.Seconds())
+		m.delays.Observe(delay.Seconds())
+	}
+}
+
 func (m *Metrics) addStart(took time.Duration) {
 	if m != nil {
 		m.starts.Observe(took.Seconds())
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -84,8 +84,9 @@
 	lastPlan    time.Duration
 	// waitsReportedAt is when waiting tasks were last reported.
 	waitsReportedAt time.Duration
-	// passes counts the placement passes.
-	passes int
+	// passes counts the placement passes; passTimes sums them since the last report of orders in flight.
+	passes    int
+	passTimes passTimes
 	// starts and stops limit the orders in flight to start and to stop runs.
 	starts, stops orderWindow
 	// runBase is the number below the first run number of this epoch.
@@ -202,13 +203,30 @@
 		return
 	}
 	s.planPending = true
+	due := s.Now() + planDelay
 	s.after(planDelay, func() {
 		s.planPending = false
+		began := s.Now()
 		s.plan()
+		s.recordPass(s.Now()-began, began-due)
 		s.reportWaits(s.Now())
 	})
 }
 
+// passTimes sums placement passes.
+type passTimes struct {
+	// took is the duration of all passes, longest that of the longest one; delay is the longest time by which a pass began
+	// after it was due.
+	took, longest, delay time.Duration
+}
+
+func (s *Scheduler) recordPass(took, delay time.Duration) {
+	s.Metrics.addPass(took, delay)
+	s.passTimes.took += took
+	s.passTimes.longest = max(s.passTimes.longest, took)
+	s.passTimes.delay = max(s.passTimes.delay, delay)
+}
+
 // SetConfig applies a new configuration to all open jobs.
 func (s *Scheduler) SetConfig(c *queue.Config) {
 	s.Config = c
