--- a/keel/schedule/backlog_bench_test.go
+++ b/keel/schedule/backlog_bench_test.go
@@ -254,10 +254,10 @@
 	f.s.rebalance(backlogClock)
 }
 
-// reportWaits reports the waiting tasks.
+// reportWaits reports the waiting tasks at a time at which all of them have waited for long enough.
 func (f *backlogFleet) reportWaits() {
 	f.s.waitsReportedAt = 0
-	f.s.reportWaits(backlogClock)
+	f.s.reportWaits(backlogClock + minReportedWait)
 }
 
 // BenchmarkPlacementPass measures the leader's periodic work by the number of tasks that wait in a pool of 400 workers: a
