Parameters of peer requests are copied as they are

Cause: jsonrpc2 decodes the parameters of a received request into maps, encodes these, and validates the parameters of a sent request three times; this was half of the leader's processor time of an order and of a renewal outside the scheduler.

Change: the codec of a link copies the parameters itself.

--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -114,10 +114,11 @@
 
 func (n *Node) newConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
 	timed := &timedConn{Conn: conn, readTimeout: readTimeoutFactor * n.Timeout, writeTimeout: n.Timeout}
-	stream := jsonrpc2.NewBufferedStream(timed, codec{})
+	c := &codec{}
+	stream := jsonrpc2.NewBufferedStream(timed, c)
 	// jsonrpc2 drops a late response by its ID, and would write a line to standard error for each.
 	noLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-	return jsonrpc2.NewConn(ctx, stream, handler{HandlerWithErrorConfigurer: jsonrpc2.HandlerWithError(n.handle), node: n}, noLog)
+	return jsonrpc2.NewConn(ctx, stream, handler{HandlerWithErrorConfigurer: jsonrpc2.HandlerWithError(n.handle), node: n}, noLog, jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive))
 }
 
 // handler serves the heartbeats of a connection in the order of arrival and all other requests concurrently.
