Orders and results between entries have a compact form

Cause: of what a relayed order cost the leader, encoding and decoding JSON was the largest part after the goroutine of the call.

Change: batches and results are encoded in the format of protobuf, with protowire, and follow the JSON-RPC message as an attachment. A relay announces in its offer that it understands them, and gives results in the form of the batch; so entries of earlier builds go on exchanging JSON with newer ones.

--- a/entry/site/relays.go
+++ b/entry/site/relays.go
@@ -18,6 +18,20 @@
 		relay.MethodOffer:   peer.NewMethod(func(_ context.Context, in relay.Offer) struct{} { return s.handleOffer(in) }),
 		relay.MethodOrders:  peer.NewMethod(func(_ context.Context, in relay.Batch) struct{} { s.relayServer.Accept(in); return struct{}{} }),
 		relay.MethodResults: peer.NewMethod(func(_ context.Context, in relay.Results) struct{} { s.relayClient.Deliver(in); return struct{}{} }),
+		relay.MethodCompactOrders: peer.NewAttachedMethod(func(_ context.Context, in peer.Attachment) error {
+			batch, err := relay.DecodeBatch(in)
+			if err == nil {
+				s.relayServer.Accept(batch)
+			}
+			return err
+		}),
+		relay.MethodCompactResults: peer.NewAttachedMethod(func(_ context.Context, in peer.Attachment) error {
+			results, err := relay.DecodeResults(in)
+			if err == nil {
+				s.relayClient.Deliver(results)
+			}
+			return err
+		}),
 	}
 }
 
@@ -29,12 +43,18 @@
 	}
 	server.Workers, server.Now = s.Workers, s.Now
 	server.Reply = func(ctx context.Context, address string, results relay.Results) error {
+		if results.Compact {
+			return s.node.Call(ctx, address, relay.MethodCompactResults, peer.Attachment(results.Encode()), &struct{}{})
+		}
 		return s.node.Call(ctx, address, relay.MethodResults, results, &struct{}{})
 	}
 	s.relayServer = server
 	s.relayClient = relay.NewClient()
 	s.relayClient.Log, s.relayClient.Direct, s.relayClient.Address, s.relayClient.Now = s.Log, s.Workers, s.peerAddress(), s.Now
 	s.relayClient.Send = func(ctx context.Context, address string, batch relay.Batch) error {
+		if batch.Compact {
+			return s.node.Call(ctx, address, relay.MethodCompactOrders, peer.Attachment(batch.Encode()), &struct{}{})
+		}
 		return s.node.Call(ctx, address, relay.MethodOrders, batch, &struct{}{})
 	}
 	return nil
@@ -54,7 +74,7 @@
 	}
 	offer := relay.Offer{
 		Name: s.Settings.Name, Address: s.peerAddress(), DataCentre: s.Settings.DataCentre, CPUShare: s.Settings.Limits.CPUShare,
-		ClockMillis: s.Now().Milliseconds(),
+		ClockMillis: s.Now().Milliseconds(), Compact: true,
 	}
 	control.Call(s.loop, peerTimeout, func(ctx context.Context) (struct{}, error) {
 		// Without a response, the next offer follows soon.
--- a/keel/peer/codec.go
+++ b/keel/peer/codec.go
@@ -30,13 +30,22 @@
 	received json.RawMessage
 }
 
+// Attachment holds the parameters of a request in another form than JSON; it is sent after the message. Only peers that
+// are known to serve the method may be called with one, because others take it for further messages.
+type Attachment []byte
+
 // envelope is a message without its parameters.
 type envelope struct {
 	Version string       `json:"jsonrpc"`
 	ID      *jsonrpc2.ID `json:"id,omitempty"`
 	Method  string       `json:"method"`
+	// AttachedBytes is the length of the attachment that follows the message.
+	AttachedBytes int `json:"attached_bytes,omitempty"`
 }
 
+// attachmentField is the name of the field of a request that holds its attachment.
+const attachmentField = "attached_bytes"
+
 // onSend records the message that is written next.
 func (c *codec) onSend(request *jsonrpc2.Request, _ *jsonrpc2.Response) { c.sent = request }
 
@@ -50,7 +59,16 @@
 
 // WriteObject writes one message.
 func (c *codec) WriteObject(stream io.Writer, obj any) error {
-	if c.sent == nil || c.sent.Params == nil {
+	if c.sent == nil {
+		return c.VarintObjectCodec.WriteObject(stream, obj)
+	}
+	for _, field := range c.sent.ExtraFields {
+		attachment, ok := field.Value.(Attachment)
+		if ok {
+			return c.writeAttached(stream, attachment)
+		}
+	}
+	if c.sent.Params == nil {
 		return c.VarintObjectCodec.WriteObject(stream, obj)
 	}
 	message, err := json.Marshal(envelope{Version: "2.0", ID: &c.sent.ID, Method: c.sent.Method})
@@ -60,8 +78,21 @@
 	message = append(message[:len(message)-1], `,"params":`...)
 	end := []byte("}")
 	length := binary.AppendUvarint(nil, uint64(len(message)+len(*c.sent.Params)+len(end)))
-	for _, part := range [][]byte{length, message, *c.sent.Params, end} {
-		_, err = stream.Write(part)
+	return writeAll(stream, length, message, *c.sent.Params, end)
+}
+
+// writeAttached writes the request that is being sent, followed by its attachment.
+func (c *codec) writeAttached(stream io.Writer, attachment Attachment) error {
+	message, err := json.Marshal(envelope{Version: "2.0", ID: &c.sent.ID, Method: c.sent.Method, AttachedBytes: len(attachment)})
+	if err != nil {
+		return err
+	}
+	return writeAll(stream, binary.AppendUvarint(nil, uint64(len(message))), message, attachment)
+}
+
+func writeAll(stream io.Writer, parts ...[]byte) error {
+	for _, part := range parts {
+		_, err := stream.Write(part)
 		if err != nil {
 			return err
 		}
@@ -85,10 +116,17 @@
 		Params json.RawMessage `json:"params"`
 	}
 	err = json.Unmarshal(body, &request)
-	if err != nil || request.Method == "" || request.Params == nil {
+	if err != nil || request.Method == "" || request.Params == nil && request.AttachedBytes == 0 {
 		return json.Unmarshal(body, v)
 	}
 	c.received = request.Params
+	if request.AttachedBytes != 0 {
+		c.received, err = readBytes(stream, uint64(request.AttachedBytes))
+		if err != nil {
+			return err
+		}
+		request.AttachedBytes = 0
+	}
 	body, err = json.Marshal(request.envelope)
 	if err != nil {
 		return err
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// NewAttachedMethod returns a Method that calls serve with the attachment of the request; its error is the response.
+func NewAttachedMethod(serve func(context.Context, Attachment) error) Method {
+	return func(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+		if request.Params == nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no attachment"}
+		}
+		err := serve(ctx, Attachment(*request.Params))
+		if err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return struct{}{}, nil
+	}
+}
+
 // link is the outgoing link to one address.
 type link struct {
 	conn *jsonrpc2.Conn
@@ -173,7 +187,7 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}
 }
 
-// Call calls a method of the peer at the address.
+// Call calls a method of the peer at the address; in is an Attachment for a method that takes one.
 func (n *Node) Call(ctx context.Context, address, method string, in, out any) error {
 	return call(ctx, n, address, method, in, out)
 }
@@ -273,7 +287,12 @@
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, in, out)
+	attachment, ok := in.(Attachment)
+	if ok {
+		err = conn.Call(ctx, method, nil, out, jsonrpc2.ExtraField(attachmentField, attachment))
+	} else {
+		err = conn.Call(ctx, method, in, out)
+	}
 	if err == nil {
 		return nil
 	}
--- a/keel/relay/bench_test.go
+++ b/keel/relay/bench_test.go
@@ -5,12 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"regexp"
 	"runtime"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +34,10 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+var benchmarkBegan = time.Now()
+
+func sinceStart() time.Duration { return time.Since(benchmarkBegan) }
+
 // reportOrders reports the processor time and the allocations of one order since the start of the benchmark.
 func reportOrders(b *testing.B, began time.Duration, before runtime.MemStats) {
 	var after runtime.MemStats
@@ -114,7 +118,7 @@
 		b.Run(name, func(b *testing.B) {
 			client := NewClient()
 			client.nextID = 0
-			client.Log, client.Direct, client.Address, client.Now = &event.Log{}, &worker.Client{}, "leader", processorTime
+			client.Log, client.Direct, client.Address, client.Now = &event.Log{}, &worker.Client{}, "leader", sinceStart
 			results := kind.results(0, benchmarkOrders)
 			received := 0
 			client.Send = func(_ context.Context, _ string, batch Batch) error {
@@ -136,7 +140,9 @@
 			var before runtime.MemStats
 			runtime.ReadMemStats(&before)
 			began := processorTime()
-			err := loop.Run(ctx, func() { sendRounds(b.N, client, cancel, func(i int, done func(error)) { kind.send(workers, loop, i, done) }) })
+			err := loop.Run(ctx, func() {
+				sendRounds(b.N, client, cancel, func(i int, done func(error)) { kind.send(workers, loop, i, done) })
+			})
 			assert.NilError(b, err)
 			reportOrders(b, began, before)
 		})
@@ -210,11 +216,20 @@
 	}
 	var message bytes.Buffer
 	id := regexp.MustCompile(`"id":\d+`)
+	attached := regexp.MustCompile(`"attached_bytes":(\d+)`)
+	attachedBytes := func(message []byte) int {
+		match := attached.FindSubmatch(message[:min(len(message), 200)])
+		if match == nil {
+			return 0
+		}
+		n, _ := strconv.Atoi(string(match[1]))
+		return n
+	}
 	bytesSent := 0
 	conn := newScriptedConn(func(data []byte) []byte {
 		message.Write(data)
 		length, n := binary.Uvarint(message.Bytes())
-		if n <= 0 || message.Len() < n+int(length) {
+		if n <= 0 || message.Len() < n+int(length)+attachedBytes(message.Bytes()) {
 			return nil
 		}
 		bytesSent += message.Len()
@@ -228,7 +243,7 @@
 	runtime.ReadMemStats(&before)
 	began := processorTime()
 	for range b.N {
-		assert.NilError(b, node.Call(b.Context(), "relay", MethodOrders, batch, &struct{}{}))
+		assert.NilError(b, node.Call(b.Context(), "relay", MethodCompactOrders, peer.Attachment(batch.Encode()), &struct{}{}))
 	}
 	reportOrders(b, began, before)
 	b.ReportMetric(float64(bytesSent)/float64(b.N*benchmarkOrders), "sent-B/order")
@@ -257,15 +272,16 @@
 func BenchmarkReceiveResults(b *testing.B) {
 	for name, results := range map[string]Results{"start": startResults(1<<61, benchmarkOrders), "renew": renewalResults(1<<61, benchmarkOrders)} {
 		b.Run(name, func(b *testing.B) {
-			params, err := json.Marshal(results)
-			assert.NilError(b, err)
-			message := frame(`{"id":7,"jsonrpc":"2.0","method":"` + MethodResults + `","params":` + string(params) + `}`)
+			attachment := results.Encode()
+			message := frame(fmt.Sprintf(`{"id":7,"jsonrpc":"2.0","method":"%s","attached_bytes":%d}`, MethodCompactResults, len(attachment)))
+			message = append(message, attachment...)
 			replies := make(chan struct{}, 1)
 			conn := newScriptedConn(func([]byte) []byte { replies <- struct{}{}; return nil })
 			node := &peer.Node{Timeout: time.Second, Methods: map[string]peer.Method{
-				MethodResults: peer.NewMethod(func(_ context.Context, in Results) struct{} {
-					if len(in.Results) != benchmarkOrders {
-						panic("wrong number of results")
+				MethodCompactResults: peer.NewAttachedMethod(func(_ context.Context, attachment peer.Attachment) error {
+					in, err := DecodeResults(attachment)
+					if err != nil || len(in.Results) != benchmarkOrders {
+						panic("wrong results")
 					}
 					for i := range in.Results {
 						_, err := in.Results[i].status()
@@ -273,7 +289,7 @@
 							panic(err)
 						}
 					}
-					return struct{}{}
+					return nil
 				}),
 			}}
 			defer node.Close()
--- a/keel/relay/link.go
+++ b/keel/relay/link.go
@@ -178,7 +178,7 @@
 		return Batch{}, false
 	}
 	n := min(len(l.queue), maxBatchOrders)
-	batch := Batch{ReplyTo: l.client.Address, Orders: make([]Order, 0, n)}
+	batch := Batch{ReplyTo: l.client.Address, Orders: make([]Order, 0, n), Compact: l.offer.Compact}
 	indexes := make(map[string]int)
 	for _, q := range l.queue[:n] {
 		waiting := l.client.calls[q.order.ID]
--- a/keel/relay/message.go
+++ b/keel/relay/message.go
@@ -16,6 +16,9 @@
 	MethodOrders = "relay.orders"
 	// MethodResults is called by a relay on the leader.
 	MethodResults = "relay.results"
+	// MethodCompactOrders and MethodCompactResults are the same with an encoded Batch and Results as attachments.
+	MethodCompactOrders  = "relay.compact_orders"
+	MethodCompactResults = "relay.compact_results"
 )
 
 // Offer is an entry's offer to carry orders.
@@ -27,6 +30,8 @@
 	CPUShare float64 `json:"cpu_share"`
 	// ClockMillis is the relay's clock.
 	ClockMillis int64 `json:"clock_ms"`
+	// Compact reports that the relay serves MethodCompactOrders.
+	Compact bool `json:"compact,omitempty"`
 }
 
 // Batch holds orders of one leader.
@@ -36,6 +41,8 @@
 	Orders  []Order `json:"orders"`
 	// Specs holds the specifications that orders refer to by index, since the tasks of a job share one.
 	Specs []string `json:"specs,omitempty"`
+	// Compact selects MethodCompactOrders, and MethodCompactResults for the results.
+	Compact bool `json:"-"`
 }
 
 // kind is the kind of an order.
@@ -75,6 +82,8 @@
 // Results holds the outcomes of orders.
 type Results struct {
 	Results []Result `json:"results"`
+	// Compact selects MethodCompactResults.
+	Compact bool `json:"-"`
 }
 
 // Result is the outcome of one order: a failure or the worker's response.
--- a/keel/relay/server.go
+++ b/keel/relay/server.go
@@ -36,10 +36,16 @@
 	pool *ants.Pool
 
 	mu sync.Mutex
-	// results holds the results that have not been sent, by leader's address; sending names the leaders to which
-	// results are being collected or sent.
-	results map[string][]Result
-	sending map[string]bool
+	// results holds the results that have not been sent, by leader; sending names the leaders to which results are being
+	// collected or sent.
+	results map[leader][]Result
+	sending map[leader]bool
+}
+
+// leader is the leader at an address that takes results in one form.
+type leader struct {
+	address string
+	compact bool
 }
 
 // NewServer returns a server; it fails if its pool of goroutines can't be created.
@@ -48,7 +54,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "create pool for orders")
 	}
-	return &Server{pool: pool, results: make(map[string][]Result), sending: make(map[string]bool)}, nil
+	return &Server{pool: pool, results: make(map[leader][]Result), sending: make(map[leader]bool)}, nil
 }
 
 // Close ends the server's idle goroutines.
@@ -56,15 +62,16 @@
 
 // Accept begins to carry out a batch of orders and returns at once.
 func (s *Server) Accept(batch Batch) {
+	from := leader{address: batch.ReplyTo, compact: batch.Compact}
 	for _, o := range batch.Orders {
 		spec := ""
 		if o.Spec > 0 && o.Spec <= len(batch.Specs) {
 			spec = batch.Specs[o.Spec-1]
 		}
-		err := s.pool.Submit(func() { s.report(batch.ReplyTo, s.execute(o, spec)) })
+		err := s.pool.Submit(func() { s.report(from, s.execute(o, spec)) })
 		if err != nil {
 			full := fault.Wrap(fault.Overloaded, err, "the relay carries too many orders").WithOutcome(fault.NotRun)
-			s.report(batch.ReplyTo, encodeResult(o.ID, worker.Status{}, full))
+			s.report(from, encodeResult(o.ID, worker.Status{}, full))
 		}
 	}
 }
@@ -113,38 +120,38 @@
 }
 
 // report queues a result for the leader.
-func (s *Server) report(leader string, result Result) {
+func (s *Server) report(to leader, result Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.results[leader] = append(s.results[leader], result)
-	if !s.sending[leader] {
-		s.sending[leader] = true
-		time.AfterFunc(resultDelay, func() { s.send(leader) })
+	s.results[to] = append(s.results[to], result)
+	if !s.sending[to] {
+		s.sending[to] = true
+		time.AfterFunc(resultDelay, func() { s.send(to) })
 	}
 }
 
 // send sends the leader's results until none is left, and drops those that it can't deliver within resultLifetime.
-func (s *Server) send(leader string) {
+func (s *Server) send(to leader) {
 	for {
 		s.mu.Lock()
-		results := s.results[leader]
-		delete(s.results, leader)
+		results := s.results[to]
+		delete(s.results, to)
 		if len(results) == 0 {
-			delete(s.sending, leader)
+			delete(s.sending, to)
 		}
 		s.mu.Unlock()
 		if len(results) == 0 {
 			return
 		}
-		s.deliver(leader, results)
+		s.deliver(to, Results{Results: results, Compact: to.compact})
 	}
 }
 
-func (s *Server) deliver(leader string, results []Result) {
+func (s *Server) deliver(to leader, results Results) {
 	giveUpAt := s.Now() + resultLifetime
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-		err := s.Reply(ctx, leader, Results{Results: results})
+		err := s.Reply(ctx, to.address, results)
 		cancel()
 		if err == nil || s.Now() > giveUpAt {
 			return
