Relayed orders can be submitted without a goroutine

Cause: the goroutine of a call, its context with a timer, and two function posts and wake-ups cost the leader more than the order itself.

Change: worker.Client has SubmitStart, SubmitStop and SubmitRenew, which queue the order and call a function on the control loop when it ends; the ends of all results of a message are one function on the loop. Timeouts are checked every 20 ms for all calls. The scripts of relay failures are played in both ways.

The scheduler doesn't use it yet.

--- a/keel/relay/bench_test.go
+++ b/keel/relay/bench_test.go
@@ -108,6 +108,13 @@
 				return workers.Start(ctx, benchmarkTargets[i], benchmarkStarts[i])
 			}, func(_ worker.Reply, err error) { done(err) })
 		}},
+		"submitted_start": {startResults, func(workers *worker.Client, _ *control.Loop, i int, done func(error)) {
+			workers.SubmitStart(benchmarkTargets[i], benchmarkStarts[i], time.Second, func(_ worker.Reply, _ time.Duration, err error) { done(err) })
+		}},
+		"submitted_renew": {renewalResults, func(workers *worker.Client, _ *control.Loop, i int, done func(error)) {
+			order := worker.RenewOrder{Token: 4, Wait: time.Second, EndsSuffice: true}
+			workers.SubmitRenew(benchmarkTargets[i], order, time.Second, func(_ worker.Status, err error) { done(err) })
+		}},
 		"renew": {renewalResults, func(workers *worker.Client, loop *control.Loop, i int, done func(error)) {
 			control.Call(loop, time.Second, func(ctx context.Context) (worker.Status, error) {
 				return workers.Renew(ctx, benchmarkTargets[i], worker.RenewOrder{Token: 4, Wait: time.Second, EndsSuffice: true})
@@ -137,6 +144,7 @@
 			workers := client.Workers()
 			ctx, cancel := context.WithCancel(b.Context())
 			loop := control.New(1000)
+			client.Post = func(f func()) { loop.Post(ctx, f) }
 			var before runtime.MemStats
 			runtime.ReadMemStats(&before)
 			began := processorTime()
--- a/keel/relay/link.go
+++ b/keel/relay/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"samphirekeel.example/keel/event"
@@ -23,11 +22,14 @@
 	suspectTime = time.Second
 	// defaultTimeout is the timeout of an order whose context has none.
 	defaultTimeout = 2 * time.Second
+	// timeoutResolution is the interval between checks of the timeouts of submitted calls.
+	timeoutResolution = 20 * time.Millisecond
 )
 
 // link is the leader's view of one relay; its fields are guarded by the mutex of its client.
 type link struct {
 	client    *Client
+	nameHash  uint64
 	offer     Offer
 	offeredAt time.Duration
 	// clockAhead is the highest known difference between the relay's clock and this entry's, seen at clockSeenAt; offers
@@ -52,21 +54,52 @@
 // errRelayFailed is the cause of errors that the relay caused and not the worker.
 var errRelayFailed = errors.New("relay failed")
 
-// call waits for the result of one order. It gets either a result or, if the relay fails, an error.
+// call waits for the end of one order.
 type call struct {
-	link   *link
-	done   chan *Result
-	failed chan error
-	id     uint64
+	link     *link
+	id       uint64
+	workerID string
+	began    time.Duration
+	// finish gets the outcome. It is called on the control loop if the call was submitted, and must not block otherwise.
+	finish    func(outcome)
+	submitted bool
 	// sent is set once the order may have reached the relay.
 	sent bool
 }
 
-// rendezvousWeight ranks a relay for a worker.
-func rendezvousWeight(relay, workerID string) uint64 {
-	return xxhash.Sum64String(relay + "/" + workerID)
+// outcome is the worker's response or the error of a call.
+type outcome struct {
+	status worker.Status
+	took   time.Duration
+	err    error
 }
 
+// ended is a submitted call with its outcome.
+type ended struct {
+	call    *call
+	outcome outcome
+}
+
+// end ends a call, or adds it to those to be ended on the control loop, which it returns.
+func (waiting *call) end(o outcome, posted []ended) []ended {
+	if waiting.submitted {
+		return append(posted, ended{waiting, o})
+	}
+	waiting.finish(o)
+	return posted
+}
+
+// rendezvousWeight ranks a relay for a worker by the hashes of their names, with the mixing function of SplitMix64.
+func rendezvousWeight(relay, worker uint64) uint64 {
+	x := relay ^ worker
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// expired reports whether the relay no longer offers to carry orders.
+func (l *link) expired(now time.Duration) bool { return now-l.offeredAt > offerLifetime }
+
 // recordClock records the relay's clock as read when it made an offer. A clock that is behind by more than an offer can
 // take is that of a restarted instance.
 func (l *link) recordClock(now, clock time.Duration) {
@@ -76,67 +109,112 @@
 	}
 }
 
-// do sends the order through the relay and waits for its result. An error has outcome NotRun if the order was certainly
-// not sent to the worker.
-func (l *link) do(ctx context.Context, to worker.Target, o Order, spec string) (worker.Status, error) {
+// do sends the order through a relay and waits for its end; it returns false if there is no relay for the worker. An
+// error has outcome NotRun if the order was certainly not sent to the worker.
+func (c *Client) do(ctx context.Context, to worker.Target, o Order, spec string) (worker.Status, bool, error) {
 	timeout := defaultTimeout
 	deadline, ok := ctx.Deadline()
 	if ok {
 		timeout = time.Until(deadline)
 	}
 	if timeout <= 0 {
-		return worker.Status{}, fault.New(fault.EndpointFailed, "deadline exceeded before the order was relayed").WithOutcome(fault.NotRun)
+		return worker.Status{}, true, fault.New(fault.EndpointFailed, "deadline exceeded before the order was relayed").WithOutcome(fault.NotRun)
+	}
+	end := make(chan outcome, 1)
+	waiting := &call{workerID: to.ID, finish: func(o outcome) { end <- o }}
+	if !c.enqueue(to, o, spec, timeout, waiting) {
+		return worker.Status{}, false, nil
 	}
-	waiting := &call{link: l, done: make(chan *Result, 1), failed: make(chan error, 1)}
-	id := l.enqueue(to, o, spec, timeout, waiting)
 	select {
-	case result := <-waiting.done:
-		status, err := result.status()
-		if err != nil {
-			l.avoid(to.ID)
-		}
-		return status, err
-	case err := <-waiting.failed:
-		return worker.Status{}, err
+	case o := <-end:
+		return o.status, true, o.err
 	case <-ctx.Done():
-		l.avoid(to.ID)
-		return worker.Status{}, l.abandon(id, waiting)
+		waiting.link.avoid(to.ID)
+		return worker.Status{}, true, c.abandon(waiting)
 	}
 }
 
-func (l *link) enqueue(to worker.Target, o Order, spec string, timeout time.Duration, waiting *call) uint64 {
-	c := l.client
+// submit sends the order through a relay and calls finish on the control loop when it ends; it returns false if there is
+// no relay for the worker.
+func (c *Client) submit(to worker.Target, o Order, spec string, timeout time.Duration, finish func(outcome)) bool {
+	return c.enqueue(to, o, spec, timeout, &call{workerID: to.ID, finish: finish, submitted: true})
+}
+
+// enqueue queues the order for a relay; it returns false if there is none for the worker.
+func (c *Client) enqueue(to worker.Target, o Order, spec string, timeout time.Duration, waiting *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.Now()
+	l := c.relayForLocked(to, now)
+	if l == nil {
+		return false
+	}
 	c.nextID++
 	o.ID, o.Worker, o.Address = c.nextID, to.ID, to.Address
 	o.TimeoutMillis = timeout.Milliseconds()
-	o.ExpiresMillis = (c.Now() + l.clockAhead + timeout).Milliseconds()
-	waiting.id = o.ID
+	o.ExpiresMillis = (now + l.clockAhead + timeout).Milliseconds()
+	waiting.link, waiting.id, waiting.began = l, o.ID, now
 	c.calls[o.ID] = waiting
+	if waiting.submitted {
+		c.addTimeoutLocked(waiting, now+timeout)
+	}
 	l.queue = append(l.queue, queued{o, spec})
 	if !l.sending {
 		l.sending = true
 		time.AfterFunc(batchDelay, l.send)
 	}
-	return o.ID
+	return true
+}
+
+// addTimeoutLocked makes a submitted call end at the time, if it hasn't ended by then.
+func (c *Client) addTimeoutLocked(waiting *call, at time.Duration) {
+	unit := int64(at/timeoutResolution) + 1
+	c.timeouts[unit] = append(c.timeouts[unit], waiting)
+	if !c.checkingTimeouts {
+		c.checkingTimeouts = true
+		time.AfterFunc(timeoutResolution, c.checkTimeouts)
+	}
+}
+
+// checkTimeouts ends the submitted calls whose time is over.
+func (c *Client) checkTimeouts() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	var posted []ended
+	for unit, calls := range c.timeouts {
+		if unit > int64(now/timeoutResolution) {
+			continue
+		}
+		delete(c.timeouts, unit)
+		for _, waiting := range calls {
+			if c.calls[waiting.id] == waiting {
+				waiting.link.avoidLocked(waiting.workerID, now)
+				posted = waiting.end(outcome{took: now - waiting.began, err: c.abandonLocked(waiting)}, posted)
+			}
+		}
+	}
+	c.post(posted)
+	c.checkingTimeouts = len(c.timeouts) > 0
+	if c.checkingTimeouts {
+		time.AfterFunc(timeoutResolution, c.checkTimeouts)
+	}
 }
 
 // abandon gives up a call whose time is over and returns its error.
-func (l *link) abandon(id uint64, waiting *call) error {
-	l.client.mu.Lock()
-	defer l.client.mu.Unlock()
-	delete(l.client.calls, id)
-	failure := fault.New(fault.EndpointFailed, "no response through relay %s", l.offer.Name)
+func (c *Client) abandon(waiting *call) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandonLocked(waiting)
+}
+
+// abandonLocked is abandon; an order that hasn't been sent stays in the queue, but isn't sent any more.
+func (c *Client) abandonLocked(waiting *call) error {
+	delete(c.calls, waiting.id)
+	failure := fault.New(fault.EndpointFailed, "no response through relay %s", waiting.link.offer.Name)
 	if waiting.sent {
 		return failure.WithOutcome(fault.Unknown)
 	}
-	for i, q := range l.queue {
-		if q.order.ID == id {
-			l.queue = append(l.queue[:i], l.queue[i+1:]...)
-			break
-		}
-	}
 	return failure.WithOutcome(fault.NotRun)
 }
 
@@ -144,7 +222,10 @@
 func (l *link) avoid(workerID string) {
 	l.client.mu.Lock()
 	defer l.client.mu.Unlock()
-	now := l.client.Now()
+	l.avoidLocked(workerID, l.client.Now())
+}
+
+func (l *link) avoidLocked(workerID string, now time.Duration) {
 	for id, until := range l.avoided {
 		if now >= until {
 			delete(l.avoided, id)
@@ -160,6 +241,9 @@
 		if !ok {
 			return
 		}
+		if len(batch.Orders) == 0 {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 		err := l.client.Send(ctx, l.offer.Address, batch)
 		cancel()
@@ -223,18 +307,23 @@
 
 // failLocked fails those of the relay's calls that match, the unsent ones with outcome NotRun, and returns their number.
 func (l *link) failLocked(match func(*call) bool, failure *fault.Error) int {
+	c := l.client
+	now := c.Now()
 	n := 0
-	for id, waiting := range l.client.calls {
+	var posted []ended
+	for id, waiting := range c.calls {
 		if waiting.link != l || !match(waiting) {
 			continue
 		}
-		delete(l.client.calls, id)
+		delete(c.calls, id)
 		n++
-		outcome := failure.Outcome()
+		result := failure.Outcome()
 		if !waiting.sent {
-			outcome = fault.NotRun
+			result = fault.NotRun
 		}
-		waiting.failed <- fault.Wrap(fault.EndpointFailed, errors.Mark(failure, errRelayFailed), "order not confirmed").WithOutcome(outcome)
+		err := fault.Wrap(fault.EndpointFailed, errors.Mark(failure, errRelayFailed), "order not confirmed").WithOutcome(result)
+		posted = waiting.end(outcome{took: now - waiting.began, err: err}, posted)
 	}
+	c.post(posted)
 	return n
 }
--- a/keel/relay/message.go
+++ b/keel/relay/message.go
@@ -124,6 +124,24 @@
 	Checkpoint string `json:"c,omitempty"`
 }
 
+func encodeStart(o worker.StartOrder) Order {
+	return Order{
+		Kind: kindStart, Token: o.Token, Task: o.Task.String(), Run: o.Run, LeaseEndMillis: o.LeaseEnd.Milliseconds(),
+		Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+	}
+}
+
+func encodeStop(o worker.StopOrder) Order {
+	return Order{Kind: kindStop, Token: o.Token, Task: o.Task.String(), Run: o.Run}
+}
+
+func encodeRenew(o worker.RenewOrder) Order {
+	return Order{
+		Kind: kindRenew, Token: o.Token, LeaseEndMillis: o.LeaseEnd.Milliseconds(), Acknowledged: o.Acknowledged,
+		WaitMillis: o.Wait.Milliseconds(), EndsSuffice: o.EndsSuffice,
+	}
+}
+
 // encodeResult returns the result of the order for the worker's response or the error of the call.
 func encodeResult(id uint64, status worker.Status, err error) Result {
 	if err != nil {
--- a/keel/relay/relay_test.go
+++ b/keel/relay/relay_test.go
@@ -55,6 +55,8 @@
 	sent    []string
 	// restarted holds when the relay's clock was set to zero.
 	restarted map[string]time.Duration
+	// submit is set to submit orders instead of calling for them.
+	submit bool
 }
 
 func (b *bed) now() time.Duration { return time.Duration(time.Now().UnixNano()) }
@@ -92,6 +94,7 @@
 func newBed(t *testing.T) *bed {
 	b := &bed{t: t, client: NewClient(), servers: make(map[string]*Server), links: make(map[string]string), restarted: make(map[string]time.Duration)}
 	b.client.Log, b.client.Direct, b.client.Address, b.client.Now = &event.Log{}, b.workers("leader"), "leader", b.now
+	b.client.Post = func(f func()) { f() }
 	b.client.Send = func(ctx context.Context, relay string, batch Batch) error {
 		switch b.link(relay) {
 		case "refused":
@@ -130,6 +133,9 @@
 }
 
 func (b *bed) order(kind string) error {
+	if b.submit {
+		return b.submitOrder(kind)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 220*time.Millisecond)
 	defer cancel()
 	to := worker.Target{ID: "w1", Address: "w1:80", DataCentre: "a"}
@@ -147,6 +153,38 @@
 	return err
 }
 
+// submitOrder is order for submitted orders.
+func (b *bed) submitOrder(kind string) error {
+	to := worker.Target{ID: "w1", Address: "w1:80", DataCentre: "a"}
+	workers := b.client.Workers()
+	ended := make(chan error, 2)
+	submitted := false
+	began := time.Now()
+	if kind == "start" {
+		order := worker.StartOrder{Task: work.TaskID{Job: "00000000000000a1"}, Run: 1, Spec: "spec"}
+		submitted = workers.SubmitStart(to, order, 220*time.Millisecond, func(reply worker.Reply, took time.Duration, err error) {
+			assert.Check(b.t, err != nil || reply.Clock == time.Second)
+			assert.Check(b.t, took == time.Since(began))
+			ended <- err
+		})
+	} else {
+		submitted = workers.SubmitRenew(to, worker.RenewOrder{Token: 1, EndsSuffice: true}, 220*time.Millisecond, func(status worker.Status, err error) {
+			assert.Check(b.t, err != nil || status.Partial && status.Ended[0].Task.String() == "00000000000000a1.0.1.2")
+			ended <- err
+		})
+	}
+	if !submitted {
+		b.submit = false
+		defer func() { b.submit = true }()
+		return b.order(kind)
+	}
+	err := <-ended
+	assert.Check(b.t, time.Since(began) <= 220*time.Millisecond+timeoutResolution)
+	time.Sleep(time.Second)
+	assert.Equal(b.t, len(ended), 0, "ended twice")
+	return err
+}
+
 func (b *bed) run(s step) {
 	for relay, state := range s.Set {
 		b.mu.Lock()
@@ -188,7 +226,12 @@
 }
 
 // TestScripts plays each script on a fake clock.
-func TestScripts(t *testing.T) {
+func TestScripts(t *testing.T) { playScripts(t, false) }
+
+// TestScriptsSubmitted plays each script with submitted orders.
+func TestScriptsSubmitted(t *testing.T) { playScripts(t, true) }
+
+func playScripts(t *testing.T, submit bool) {
 	files, err := filepath.Glob("testdata/*.json")
 	assert.NilError(t, err)
 	for _, file := range files {
@@ -199,6 +242,7 @@
 			assert.NilError(t, json.Unmarshal(text, &s))
 			synctest.Test(t, func(t *testing.T) {
 				b := newBed(t)
+				b.submit = submit
 				defer func() {
 					for _, server := range b.servers {
 						server.Close()
--- a/keel/worker/order.go
+++ b/keel/worker/order.go
@@ -147,6 +147,12 @@
 	Stop     func(ctx context.Context, to Target, order StopOrder) (Reply, error)
 	Throttle func(ctx context.Context, to Target, order ThrottleOrder) (Reply, error)
 	Renew    func(ctx context.Context, to Target, order RenewOrder) (Status, error)
+	// SubmitStart, SubmitStop and SubmitRenew are nil, or send an order like Start, Stop and Renew without a goroutine
+	// that waits for the response. They return false if the order has to be sent in the other way; else they call done
+	// once, later, on the control loop, with the time that the call took.
+	SubmitStart func(to Target, order StartOrder, timeout time.Duration, done func(reply Reply, took time.Duration, err error)) bool
+	SubmitStop  func(to Target, order StopOrder, timeout time.Duration, done func(reply Reply, took time.Duration, err error)) bool
+	SubmitRenew func(to Target, order RenewOrder, timeout time.Duration, done func(status Status, err error)) bool
 	// Healthy queries the health check at the path and reports whether the worker is healthy.
 	Healthy func(ctx context.Context, to Target, path string) (bool, error)
 	// Forget closes the connections to an address that is no longer in use.
