--- a/keel/relay/client.go
+++ b/keel/relay/client.go
@@ -131,7 +131,10 @@
 	}
 	go c.Post(func() {
 		for _, e := range posted {
-			e.call.finish(e.outcome)
+			finish := e.call.finish
+			// The call is kept until its timeout, and with it what the function refers to.
+			e.call.finish = nil
+			finish(e.outcome)
 		}
 	})
 }
