The scheduler submits its orders and renewals to relays without goroutines

What callers saw: at the peaks of the large site, with 5,000 to 6,500 starts and as many ends a second, the leader fell behind, and few jobs of the peak were in time.

Cause: each start, stop and renewal took a goroutine with its context, timer and two posts to the control loop, of which the order itself was the smaller part. Now they are submitted to the relays' client, which ends all orders of a message in one function on the loop; where no relay is used they are sent as before.

--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -44,16 +44,27 @@
 			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 		}
 	}
-	target := w.target()
-	call(s, order.Wait+renewTimeoutMargin, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) },
-		func(status worker.Status, err error) {
-			w.renewing = false
-			if w.removed {
-				return
-			}
-			s.Metrics.addRenewal()
-			s.handleRenewal(w, now, status, err)
-		})
+	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
+		w.renewing = false
+		if w.removed {
+			return
+		}
+		s.Metrics.addRenewal()
+		s.handleRenewal(w, now, status, err)
+	})
+}
+
+// sendRenewal sends the renewal and calls done on the control loop when it has ended.
+func (s *Scheduler) sendRenewal(target worker.Target, order worker.RenewOrder, done func(worker.Status, error)) {
+	timeout := order.Wait + renewTimeoutMargin
+	submitted := s.Workers.SubmitRenew != nil && s.Workers.SubmitRenew(target, order, timeout, func(status worker.Status, err error) {
+		if !s.epochEnded() {
+			done(status, err)
+		}
+	})
+	if !submitted {
+		call(s, timeout, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) }, done)
+	}
 }
 
 func (s *Scheduler) handleRenewal(w *workerState, sent time.Duration, status worker.Status, err error) {
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -128,22 +127,16 @@
 }
 
 func (s *Scheduler) sendStart(r *run, order worker.StartOrder) {
-	target := r.worker.target()
 	s.starts.add()
-	call(s, s.starts.timeout(), func(ctx context.Context) (timed, error) {
-		if !s.LeaseValid() {
-			return timed{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
-		}
-		return s.timeOrder(func() (worker.Reply, error) { return s.Workers.Start(ctx, target, order) })
-	}, func(reply timed, err error) {
-		s.starts.remove(reply.took, err)
+	sendOrder(s, s.Workers.SubmitStart, s.Workers.Start, r.worker.target(), order, s.starts.timeout(), func(reply worker.Reply, took time.Duration, err error) {
+		s.starts.remove(took, err)
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
 		if r.worker.runs[r.task.id()] != r {
 			return
 		}
-		s.handleStartReply(r, reply.Reply, err)
+		s.handleStartReply(r, reply, err)
 	})
 }
 
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -1,10 +1,9 @@
 package schedule
 
 import (
-	"context"
+	"time"
 
 	"samphirekeel.example/keel/event"
-	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
 )
@@ -54,14 +53,9 @@
 // callStop sends an order to stop a run, which counts as one in flight until it has ended.
 func (s *Scheduler) callStop(target worker.Target, order worker.StopOrder, done func(worker.Reply, error)) {
 	s.stops.add()
-	call(s, s.stops.timeout(), func(ctx context.Context) (timed, error) {
-		if !s.LeaseValid() {
-			return timed{}, fault.New(fault.NotReady, "order not sent: the leader's lease is not valid").WithOutcome(fault.NotRun)
-		}
-		return s.timeOrder(func() (worker.Reply, error) { return s.Workers.Stop(ctx, target, order) })
-	}, func(reply timed, err error) {
-		s.stops.remove(reply.took, err)
-		done(reply.Reply, err)
+	sendOrder(s, s.Workers.SubmitStop, s.Workers.Stop, target, order, s.stops.timeout(), func(reply worker.Reply, took time.Duration, err error) {
+		s.stops.remove(took, err)
+		done(reply, err)
 		s.stops.sendWaiting()
 	})
 }
