A placement pass costs what it starts, not what waits

What callers saw: on the large site, in the two windows of about 8 s in which a peak met a cut or a restart, 1 to 35 of 100 jobs were in time while hundreds of instances of the peak's pools were idle.

Cause: each pass ranked and sorted all jobs with waiting tasks and compared each with the groups of workers, each demand added up all open jobs, and each report of waits went through all tasks. With 25,000 waiting tasks a pass took 6 ms of an idle core and 34 ms were spent on a report, so that a leader that had fallen behind started fewer tasks, and more of them waited: a control loop whose cost grows as it falls behind.

Evidence: BenchmarkPlacementPass on the code before, a pass that can start nothing: 0.09 ms with 100 waiting tasks, 5.7 with 25,000, 57 with 100,000.

Change: a pool keeps its open jobs in order, by home data centre, and the sums of their work; an update costs as much as the number of jobs that changed or became late. A pass examines a bounded number of jobs that find no room, and the others by turns. A pass that takes long is followed by a pause of twice its duration. Timed jobs, runs that stall, the rate of orders to instances and the spare instances no longer take a scan of everything.

TestPlacementPassCostIndependentOfBacklog failed before, with 2,000 and with 50,000 waiting tasks 0.30 and 7.3 ms; now 0.10 and 0.22 ms. TestPlacementPassFillsFreeWorker required that one pass fills a worker however small the room that is left; now one pass must start tasks on a worker with half of its capacity free, and the passes that examine all of the backlog by turns must fill it. Nothing else that the issue asks for depends on the last fragment being filled in the same pass.

--- /dev/null
+++ b/keel/schedule/backlog.go
@@ -0,0 +1,216 @@
+package schedule
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/btree"
+)
+
+// The service classes, in the order in which they are served.
+const (
+	classLongRunning = iota
+	classOnTime
+	// classLate is the class of jobs that can no longer meet their objective.
+	classLate
+)
+
+const (
+	// estimateError is the assumed relative error of task estimates: half of the error that is specified for
+	// deployments with short tasks.
+	estimateError = 0.1
+	// outcomeDelay is the time from a task's end until the caller sees the job's outcome: a lease renewal, the ledger's
+	// flush delay and a transaction.
+	outcomeDelay = 100 * time.Millisecond
+	// backlogDegree is the degree of the backlog's trees.
+	backlogDegree = 32
+)
+
+// backlog holds the open jobs of a pool in scheduling order, with the sums of their unfinished work. An update costs as
+// much as the number of jobs that have changed or become late, however many wait.
+type backlog struct {
+	// changed holds the jobs whose entry may be out of date.
+	changed []*job
+	// waiting holds the jobs that have tasks to start, by home data centre. A job starts elsewhere only where its home has
+	// no room.
+	waiting map[string]*waitingJobs
+	// deadlines holds the jobs that can still meet their objective, ordered by when they become late.
+	deadlines *btree.BTreeG[rank]
+	// total is the unfinished work of all jobs, onTime that of long-running ones and of those that can still meet their
+	// objective.
+	total, onTime openWork
+	// tasks is the number of tasks that need a run.
+	tasks int
+}
+
+// waitingJobs holds the waiting jobs of one home data centre.
+type waitingJobs struct {
+	// order holds the jobs in scheduling order.
+	order *btree.BTreeG[rank]
+	// cursor is where the next pass continues to examine the jobs behind those that each pass examines first.
+	cursor rank
+}
+
+// rank is a job's place in an order.
+type rank struct {
+	class int
+	key   time.Duration
+	id    string
+	job   *job
+}
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key), strings.Compare(a.id, b.id))
+}
+
+func (r rank) before(o rank) bool { return compareRanks(r, o) < 0 }
+
+// backlogEntry is what a backlog counts for a job.
+type backlogEntry struct {
+	// waiting and deadline are the job's places in the trees, without a job if it has none.
+	waiting, deadline rank
+	work              openWork
+	tasks             int
+	onTime            bool
+}
+
+func newBacklog() backlog {
+	return backlog{waiting: make(map[string]*waitingJobs), deadlines: btree.NewG(backlogDegree, rank.before)}
+}
+
+// touch records that the job's place in its pool's backlog, or its unfinished work, may have changed.
+func (j *job) touch() {
+	if j.pool != nil && !j.touched {
+		j.touched = true
+		j.pool.backlog.changed = append(j.pool.backlog.changed, j)
+	}
+}
+
+// update applies the changes of jobs since the last update and moves the jobs that have become late.
+func (p *pool) update(now time.Duration, mayRun func(*stepState) bool) {
+	b := &p.backlog
+	for _, j := range b.changed {
+		if j.pool != p {
+			continue
+		}
+		j.touched = false
+		b.remove(j)
+		b.add(j, now, mayRun)
+	}
+	clear(b.changed)
+	b.changed = b.changed[:0]
+	for {
+		next, ok := b.deadlines.Min()
+		if !ok || now <= next.key {
+			return
+		}
+		b.remove(next.job)
+		b.add(next.job, now, mayRun)
+	}
+}
+
+// add adds an open job.
+func (b *backlog) add(j *job, now time.Duration, mayRun func(*stepState) bool) {
+	if !j.open() || j.queue == nil {
+		return
+	}
+	remaining := j.remaining()
+	lateAt := j.lateAt(remaining)
+	class := j.serviceClass(now, lateAt)
+	e := &j.entry
+	e.work, e.tasks, e.onTime = j.openWork(mayRun), j.waiting, class < classLate
+	b.total.add(e.work)
+	b.tasks += e.tasks
+	if e.onTime {
+		b.onTime.add(e.work)
+	}
+	if class == classOnTime {
+		e.deadline = rank{key: lateAt, id: j.ID, job: j}
+		b.deadlines.ReplaceOrInsert(e.deadline)
+	}
+	if j.waiting == 0 && !j.maySpeculate {
+		return
+	}
+	// Late jobs are ordered by arrival, the others by the slack to their objective.
+	e.waiting = rank{class: class, key: j.objective() - remaining, id: j.ID, job: j}
+	if class == classLate {
+		e.waiting.key = j.arrived
+	}
+	home := b.waiting[j.Home]
+	if home == nil {
+		home = &waitingJobs{order: btree.NewG(backlogDegree, rank.before)}
+		b.waiting[j.Home] = home
+	}
+	home.order.ReplaceOrInsert(e.waiting)
+}
+
+// remove removes a job.
+func (b *backlog) remove(j *job) {
+	e := &j.entry
+	b.total.subtract(e.work)
+	b.tasks -= e.tasks
+	if e.onTime {
+		b.onTime.subtract(e.work)
+	}
+	if e.deadline.job != nil {
+		b.deadlines.Delete(e.deadline)
+	}
+	if e.waiting.job != nil {
+		home := b.waiting[j.Home]
+		home.order.Delete(e.waiting)
+		if home.order.Len() == 0 {
+			delete(b.waiting, j.Home)
+		}
+	}
+	*e = backlogEntry{}
+}
+
+// homes returns the data centres with waiting jobs, ordered by name.
+func (b *backlog) homes() []string { return slices.Sorted(maps.Keys(b.waiting)) }
+
+// walk calls visit for the jobs from one place on and before another, until it returns false, and returns the last one's
+// place and whether no job is left. The backlog isn't updated meanwhile.
+func (w *waitingJobs) walk(from, to rank, visit func(*job) bool) (last rank, complete bool) {
+	last, complete = from, true
+	w.order.AscendRange(from, to, func(r rank) bool {
+		last = r
+		complete = visit(r.job)
+		return complete
+	})
+	return last, complete
+}
+
+// lateAt returns the latest time at which the job can still meet its objective if its remaining work starts then.
+func (j *job) lateAt(remaining time.Duration) time.Duration {
+	return j.objective() - time.Duration((1+estimateError)*float64(remaining)) - outcomeDelay
+}
+
+// serviceClass ranks long-running jobs first, then jobs that can still meet their objective, then late jobs.
+func (j *job) serviceClass(now, lateAt time.Duration) int {
+	switch {
+	case j.LongRunning():
+		return classLongRunning
+	case now <= lateAt:
+		return classOnTime
+	}
+	return classLate
+}
+
+// remaining returns the estimated time until the job is done if its remaining tasks start now.
+func (j *job) remaining() time.Duration {
+	longest := time.Duration(0)
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			if step.done < len(step.tasks) {
+				longest = max(longest, step.criticalPath)
+			}
+		}
+	}
+	return longest
+}
--- a/keel/schedule/candidates.go
+++ b/keel/schedule/candidates.go
@@ -19,7 +19,9 @@
 type candidateGroup struct {
 	dataCentre string
 	workers    []*workerState
-	// unplaceable holds the sizes for which no worker of the group has room; without it, every waiting task of a
+	// maxFree is the largest free capacity of a worker in each dimension when the pass began.
+	maxFree work.Size
+	// unplaceable holds the smallest sizes for which no worker of the group has room; without it, every waiting task of a
 	// backlog would be compared with every worker.
 	unplaceable []work.Size
 }
@@ -29,11 +31,24 @@
 	c.workers = append(c.workers, w)
 	for _, g := range c.groups {
 		if g.dataCentre == w.DataCentre {
-			g.workers = append(g.workers, w)
+			g.add(w)
 			return
 		}
 	}
-	c.groups = append(c.groups, &candidateGroup{dataCentre: w.DataCentre, workers: []*workerState{w}})
+	g := &candidateGroup{dataCentre: w.DataCentre}
+	g.add(w)
+	c.groups = append(c.groups, g)
+}
+
+func (g *candidateGroup) add(w *workerState) {
+	free := w.free()
+	if len(g.workers) == 0 {
+		g.maxFree = free
+	}
+	g.workers = append(g.workers, w)
+	g.maxFree.MilliCores = max(g.maxFree.MilliCores, free.MilliCores)
+	g.maxFree.MemoryMB = max(g.maxFree.MemoryMB, free.MemoryMB)
+	g.maxFree.Accelerators = max(g.maxFree.Accelerators, free.Accelerators)
 }
 
 // startingWith returns the groups, that of the named data centre first.
@@ -64,7 +79,7 @@
 			options = append(options, option{g.dataCentre, free})
 			continue
 		}
-		g.unplaceable = append(g.unplaceable, size)
+		g.markUnplaceable(size)
 	}
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(b.milliCores, a.milliCores), strings.Compare(a.dataCentre, b.dataCentre))
@@ -76,8 +91,17 @@
 	return names
 }
 
-// isUnplaceable reports whether a task of the same size or smaller found no room in this pass.
+// markUnplaceable records that no worker of the group has room for the size.
+func (g *candidateGroup) markUnplaceable(size work.Size) {
+	g.unplaceable = append(slices.DeleteFunc(g.unplaceable, func(larger work.Size) bool { return larger.Holds(size) }), size)
+}
+
+// isUnplaceable reports whether no worker of the group had room for the size when the pass began, or a task of the same
+// size or smaller found none in this pass.
 func (g *candidateGroup) isUnplaceable(size work.Size) bool {
+	if !g.maxFree.Holds(size) {
+		return true
+	}
 	for _, f := range g.unplaceable {
 		if size.Holds(f) {
 			return true
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -81,12 +81,8 @@
 	})
 	s.passTimes = passTimes{}
 	for _, d := range demands {
-		waiting := 0
-		for j := range d.pool.jobs {
-			waiting += j.waiting
-		}
 		s.Log.Write(event.PoolDemand, event.Fields{
-			"pool": d.pool.name, "need": d.required, "in_time": d.requiredOnTime, "have": d.capacity, "coming": d.incoming, "waiting": waiting,
+			"pool": d.pool.name, "need": d.required, "in_time": d.requiredOnTime, "have": d.capacity, "coming": d.incoming, "waiting": d.pool.backlog.tasks,
 			"idle": len(d.idle), "hosts": len(d.pool.workers), "rate": d.pool.arrivals.rate(now), "used": d.used, "jobs": len(d.pool.jobs),
 		})
 	}
@@ -135,16 +131,9 @@
 // the unfinished tasks could use in parallel now. The second result leaves out jobs that can no longer meet their
 // objective.
 func (p *pool) requiredCapacity(now, horizon time.Duration, mayRun func(*stepState) bool) (total, onTime int64) {
-	var totalWork, onTimeWork openWork
-	for j := range p.jobs {
-		w := j.openWork(mayRun)
-		totalWork.add(w)
-		if j.serviceClass(now) < classLate {
-			onTimeWork.add(w)
-		}
-	}
+	p.update(now, mayRun)
 	expected := p.arrivals.forecast(now, horizon)
-	return totalWork.required(expected), onTimeWork.required(expected)
+	return p.backlog.total.required(expected), p.backlog.onTime.required(expected)
 }
 
 // openWork is the unfinished work of jobs, in milli-cores.
@@ -160,6 +149,12 @@
 	w.backlog += o.backlog
 }
 
+func (w *openWork) subtract(o openWork) {
+	w.longRunning -= o.longRunning
+	w.runnable -= o.runnable
+	w.backlog -= o.backlog
+}
+
 func (w *openWork) required(expected int64) int64 {
 	return w.longRunning + max(expected, min(w.runnable, expected+w.backlog))
 }
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -58,6 +59,8 @@
 	listing        bool
 	rebalancedAt   time.Duration
 	demandLoggedAt time.Duration
+	// spares holds the instances of all spare pools when rebalancing began, ordered by ID.
+	spares []provider.Instance
 	// scarce is set if some pool falls short and no instance is available for it.
 	scarce bool
 	// unknownSince holds, by instance, since when each list has shown a worker on it that isn't known.
@@ -71,7 +74,7 @@
 	// unsuitable holds, by instance, the pools for which the instance service rejected the instance. It is cleared for
 	// an instance that is listed again, or with another capacity or other labels.
 	unsuitable map[string]map[string]bool
-	// recentOrders holds the times of the orders in the last second, for the rate limit.
+	// recentOrders holds the times of the orders in the last second, for the rate limit, in their order.
 	recentOrders []time.Duration
 	// lastOrder holds, by instance, when this holder last gave it an order.
 	lastOrder map[string]time.Duration
@@ -159,7 +162,7 @@
 			s.Log.Write(event.InstanceListed, event.Fields{"instance": i.ID, "pool": i.Pool, "state": string(i.State), "worker": i.Worker})
 		}
 	}
-	s.fleet.shapes = distinctShapes(all)
+	s.setShapes(distinctShapes(all))
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
@@ -178,6 +181,27 @@
 	s.schedulePlan()
 }
 
+// setShapes sets the shapes of instances. Which tasks some instance may run depends on them, and so does each pool's work.
+func (s *Scheduler) setShapes(shapes []provider.Instance) {
+	slices.SortFunc(shapes, compareShapes)
+	if slices.EqualFunc(shapes, s.fleet.shapes, func(a, b provider.Instance) bool { return compareShapes(a, b) == 0 }) {
+		return
+	}
+	s.fleet.shapes = shapes
+	for _, p := range s.pools {
+		for j := range p.jobs {
+			j.touch()
+		}
+	}
+}
+
+func compareShapes(a, b provider.Instance) int {
+	return cmp.Or(
+		cmp.Compare(a.Capacity.MilliCores, b.Capacity.MilliCores), cmp.Compare(a.Capacity.MemoryMB, b.Capacity.MemoryMB),
+		cmp.Compare(a.Capacity.Accelerators, b.Capacity.Accelerators), slices.Compare(a.Labels, b.Labels),
+	)
+}
+
 // distinctShapes returns one instance for each combination of capacity and labels.
 func distinctShapes(all []provider.Instance) []provider.Instance {
 	type shape struct {
@@ -251,7 +275,9 @@
 		return false
 	}
 	f := &s.fleet
-	f.recentOrders = slices.DeleteFunc(f.recentOrders, func(at time.Duration) bool { return now-at > time.Second })
+	for len(f.recentOrders) > 0 && now-f.recentOrders[0] > time.Second {
+		f.recentOrders = f.recentOrders[1:]
+	}
 	return float64(len(f.recentOrders)) < rateShare*s.Limits.OrdersPerSecond
 }
 
@@ -298,6 +324,7 @@
 	}
 	demands := s.demands(now)
 	s.logDemands(demands, now)
+	s.fleet.spares = s.spareInstances()
 	s.scaleUp(demands, now)
 	if s.acceptsOrders(now) {
 		s.scaleDown(demands, now)
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/work"
 )
 
 const (
@@ -95,20 +96,24 @@
 			// Runs of an earlier leader, and runs that were starting, are known only later than the registration.
 			s.evictAllLongRunning(w)
 		}
-		for _, r := range sortedRuns(w.runs) {
-			s.checkStalled(w, r)
+		stalled := make(map[work.TaskID]*run)
+		for id, r := range w.runs {
 			r.checkSpeculation(now)
+			if r.isStalled() {
+				stalled[id] = r
+			}
+		}
+		for _, r := range sortedRuns(stalled) {
+			s.avoidWithBackoff(w, "a run on the worker has stalled")
+			s.stop(r, "run has stalled")
 		}
 	}
 }
 
-// checkStalled stops a stalled run, so that its task restarts, and avoids its worker.
-func (s *Scheduler) checkStalled(w *workerState, r *run) {
-	if r.confirmedAt == 0 || r.stopping || r.task.step.spec.LongRunning || r.speedPercent == 0 || r.listedAt-r.progressedAt < stallTimeout {
-		return
-	}
-	s.avoidWithBackoff(w, "a run on the worker has stalled")
-	s.stop(r, "run has stalled")
+// isStalled reports whether the run makes no progress although its worker lists it. It is stopped then, so that its task
+// restarts, and its worker is avoided.
+func (r *run) isStalled() bool {
+	return r.confirmedAt != 0 && !r.stopping && !r.task.step.spec.LongRunning && r.speedPercent != 0 && r.listedAt-r.progressedAt >= stallTimeout
 }
 
 // evictAllLongRunning stops all long-running tasks of a draining worker, so that they restart elsewhere.
@@ -124,7 +129,7 @@
 func (s *Scheduler) speculateUnresponsive(w *workerState) {
 	for _, r := range w.runs {
 		if r.task.step.spec.Speculative {
-			r.task.job().maySpeculate = true
+			r.task.job().speculate()
 		}
 	}
 	s.schedulePlan()
@@ -144,6 +149,14 @@
 // checkSpeculation marks the run's job if the task needs a speculative run.
 func (r *run) checkSpeculation(now time.Duration) {
 	if r.task.needsSpeculativeRun(now) {
-		r.task.job().maySpeculate = true
+		r.task.job().speculate()
+	}
+}
+
+// speculate records that some task of the job may need a speculative run.
+func (j *job) speculate() {
+	if !j.maySpeculate {
+		j.maySpeculate = true
+		j.touch()
 	}
 }
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -45,6 +45,9 @@
 	waiting int
 	// maySpeculate is set if some task may need a speculative run.
 	maySpeculate bool
+	// entry is what the backlog of the job's pool counts for it; touched is set while that may be out of date.
+	entry   backlogEntry
+	touched bool
 	// criticalPath is the estimated duration of the longest chain of dependent steps.
 	criticalPath time.Duration
 	// onStored holds callbacks to run once the outcome is stored.
@@ -167,6 +170,9 @@
 	s.route(j)
 	j.occurrences = make([]*occurrence, j.OccurrenceCount())
 	s.releaseOccurrences(j)
+	if j.released < j.OccurrenceCount() {
+		s.timed[j] = true
+	}
 	if record.Progress != nil {
 		s.restore(j, record.Progress)
 	}
@@ -277,11 +283,14 @@
 }
 
 // releaseDue releases occurrences of all timed jobs.
-func (s *Scheduler) releaseDue(time.Duration) {
-	for _, j := range s.jobs {
-		if j.HasDueTimes() && j.open() && j.released < j.OccurrenceCount() {
+func (s *Scheduler) releaseDue() {
+	for j := range s.timed {
+		if j.open() {
 			s.releaseOccurrences(j)
 		}
+		if !j.open() || j.released == j.OccurrenceCount() {
+			delete(s.timed, j)
+		}
 	}
 }
 
@@ -293,6 +302,7 @@
 			continue
 		}
 		step.ready = true
+		o.job.touch()
 		for _, t := range step.tasks {
 			t.readySince = now
 			if t.needsRun() {
@@ -306,6 +316,7 @@
 func (st *stepState) addWaiting(n int) {
 	st.waiting += n
 	st.occurrence.job.waiting += n
+	st.occurrence.job.touch()
 }
 
 func (st *stepState) dependenciesDone() bool {
@@ -331,10 +342,13 @@
 func (s *Scheduler) route(j *job) {
 	j.queue = s.Config.QueueByName(j.Queue)
 	if j.queue == nil {
+		s.unrouted[j] = true
 		s.setPool(j, nil)
 		return
 	}
+	delete(s.unrouted, j)
 	s.setPool(j, s.pool(j.queue.Pool))
+	j.touch()
 }
 
 func (s *Scheduler) setPool(j *job, p *pool) {
@@ -343,12 +357,16 @@
 	}
 	if j.pool != nil {
 		delete(j.pool.jobs, j)
+		j.pool.backlog.remove(j)
 	}
-	j.pool = p
+	j.pool, j.touched = p, false
 	if p != nil {
 		p.jobs[j] = true
 	}
 }
 
 // removeFromPool removes an ended job from its pool.
-func (s *Scheduler) removeFromPool(j *job) { s.setPool(j, nil) }
+func (s *Scheduler) removeFromPool(j *job) {
+	delete(s.unrouted, j)
+	s.setPool(j, nil)
+}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -15,7 +15,6 @@
 		return
 	}
 	now := s.Now()
-	s.lastPlan = now
 	if s.starts.mayPlan() {
 		s.planPools(now)
 	}
@@ -47,23 +46,65 @@
 	if !s.starts.open() {
 		return
 	}
-	jobs := p.waitingJobs(now)
-	if len(jobs) == 0 {
+	p.update(now, s.fleet.mayRun)
+	if len(p.backlog.waiting) == 0 {
 		p.missing = missing{}
 		return
 	}
 	pl := s.newPlanner(p, now)
-	for _, j := range jobs {
-		pl.placeJob(j)
-		if !s.starts.open() {
-			// The jobs that were not reached may need the workers that an earlier pass found missing.
-			pl.missing.merge(p.missing)
-			break
-		}
+	if !pl.placeWaiting(&p.backlog) {
+		// The jobs that were not reached may need the workers that an earlier pass found missing.
+		pl.missing.merge(p.missing)
 	}
 	p.missing = pl.missing
 }
 
+// maxUnplacedJobs is the number of jobs without a task that can start after which a pass examines no more jobs of a home
+// data centre and service class. The first jobs of each are examined in each pass, and as many of a data centre by turns.
+const maxUnplacedJobs = 16
+
+// placeWaiting places the waiting tasks of the backlog and reports whether it has examined all of its jobs. Each pass begins
+// with another data centre.
+func (pl *planner) placeWaiting(b *backlog) bool {
+	names := b.homes()
+	all := true
+	for class := classLongRunning; class <= classLate; class++ {
+		for i := range names {
+			home := b.waiting[names[(i+pl.s.passes)%len(names)]]
+			_, complete := home.walk(rank{class: class}, rank{class: class + 1}, pl.visitor())
+			all = all && complete
+			if !pl.s.starts.open() {
+				return false
+			}
+		}
+	}
+	if all {
+		return true
+	}
+	for _, name := range names {
+		home := b.waiting[name]
+		last, complete := home.walk(home.cursor, rank{class: classLate + 1}, pl.visitor())
+		if complete {
+			last = rank{}
+		}
+		home.cursor = last
+	}
+	return false
+}
+
+// visitor returns a function that places the tasks of a job and reports whether the pass goes on to the next one.
+func (pl *planner) visitor() func(*job) bool {
+	unplaced := 0
+	return func(j *job) bool {
+		waiting := j.waiting
+		held := pl.placeJob(j)
+		if !held && j.waiting == waiting {
+			unplaced++
+		}
+		return unplaced < maxUnplacedJobs && pl.s.starts.open()
+	}
+}
+
 // newPlanner returns a planner with the usable workers of the pool as candidates, or those that are usable as a last resort.
 func (s *Scheduler) newPlanner(p *pool, now time.Duration) *planner {
 	pl := &planner{s: s, now: now, unfenced: make(map[string]*workerState)}
@@ -89,7 +130,8 @@
 	}
 }
 
-func (pl *planner) placeJob(j *job) {
+// placeJob starts the job's waiting tasks as far as there is room, and reports whether an unfenced worker holds the job.
+func (pl *planner) placeJob(j *job) (held bool) {
 	fenced := pl.unfencedWorkerFor(j) == nil
 	for _, o := range j.occurrences {
 		if o == nil {
@@ -102,6 +144,7 @@
 			}
 		}
 	}
+	return !fenced
 }
 
 // unfencedWorkerFor returns an unfenced worker that may be running tasks of the job, the one whose lease expires last, or
@@ -249,7 +292,7 @@
 		}
 		found := pl.selectInGroup(g, step, t, reserved)
 		if found.worker == nil && unconstrained {
-			g.unplaceable = append(g.unplaceable, size)
+			g.markUnplaceable(size)
 		}
 		if found.betterThan(best) {
 			best = found
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	for _, i := range s.spareInstances() {
+	for _, i := range s.fleet.spares {
 		if suits(i) && s.movable(i, to.pool.name, scaleUpRateShare, now) && s.knownIdle(i, s.workerOf[i.ID], now) {
 			return i.ID, i.Capacity.MilliCores, i.Pool
 		}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -56,6 +56,10 @@
 	lastReadyEpoch int64
 	ready          bool
 	jobs           map[string]*job
+	// timed holds the open jobs with scheduled times that are still to come.
+	timed map[*job]bool
+	// unrouted holds the open jobs whose queue the configuration doesn't contain.
+	unrouted map[*job]bool
 	// leaseInvalid is set if the last lease check failed.
 	leaseInvalid bool
 	// pendingCancels holds the jobs whose cancel was read before their submission.
@@ -81,7 +85,8 @@
 	unfenced map[string]*workerState
 
 	planPending bool
-	lastPlan    time.Duration
+	// planTook is the duration of the latest pass.
+	planTook time.Duration
 	// waitsReportedAt is when waiting tasks were last reported.
 	waitsReportedAt time.Duration
 	// passes counts the placement passes; passTimes sums them since the last report of orders in flight.
@@ -106,6 +111,9 @@
 	callTimeout = 2500 * time.Millisecond
 	// planDelay batches changes before a placement pass.
 	planDelay = 2 * time.Millisecond
+	// The pause before a pass is at least planPauseFactor times the duration of the previous one, so that a pass that
+	// takes long leaves time for responses and orders.
+	planPauseFactor = 2
 	// runNumbersPerEpoch is the distance between the first run numbers of two successive epochs.
 	runNumbersPerEpoch = 1000
 	// tickInterval is the interval of the periodic, time-driven checks.
@@ -117,6 +125,8 @@
 	s.ctx, s.cancel = context.WithCancel(s.Loop.Context())
 	s.began = s.Now()
 	s.jobs = make(map[string]*job)
+	s.timed = make(map[*job]bool)
+	s.unrouted = make(map[*job]bool)
 	s.pendingCancels = make(map[string]bool)
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
@@ -174,7 +184,7 @@
 func (s *Scheduler) tick() {
 	s.after(tickInterval, s.tick)
 	now := s.Now()
-	s.releaseDue(now)
+	s.releaseDue()
 	s.checkWorkers(now)
 	s.checkRuns(now)
 	s.starts.adjust()
@@ -203,12 +213,14 @@
 		return
 	}
 	s.planPending = true
-	due := s.Now() + planDelay
-	s.after(planDelay, func() {
+	delay := max(planDelay, planPauseFactor*s.planTook)
+	due := s.Now() + delay
+	s.after(delay, func() {
 		s.planPending = false
 		began := s.Now()
 		s.plan()
-		s.recordPass(s.Now()-began, began-due)
+		s.planTook = s.Now() - began
+		s.recordPass(s.planTook, began-due)
 		s.reportWaits(s.Now())
 	})
 }
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -13,7 +13,10 @@
 	waitReportInterval = time.Second
 	// minReportedWait is how long a task must have waited to be reported; shorter waits are part of each start.
 	minReportedWait = 2 * time.Second
-	// maxExplainedSteps is the maximum number of steps of a pool for which a report compares tasks with workers: those
+	// maxReportedJobs is the maximum number of waiting jobs of a pool that a report examines: the first of its first data
+	// centres in scheduling order.
+	maxReportedJobs = 256
+	// maxExplainedSteps is the maximum number of steps among these for which a report compares tasks with workers: those
 	// whose tasks have waited longest.
 	maxExplainedSteps = 32
 )
@@ -37,7 +40,7 @@
 	waitOrders       waitCause = "orders_in_flight"
 	// waitNone means that a worker has room for the task and may run it.
 	waitNone waitCause = "none"
-	// waitUnexplained is the cause of tasks beyond maxExplainedSteps.
+	// waitUnexplained is the cause of tasks beyond maxExplainedSteps and maxReportedJobs.
 	waitUnexplained waitCause = "not_examined"
 )
 
@@ -89,14 +92,17 @@
 
 // collectWaits returns the waits by pool and cause, ordered by both.
 func (s *Scheduler) collectWaits(now time.Duration) []*waitGroup {
-	c := &waitCollector{s: s, now: now, groups: make(map[waitKey]*waitGroup), unplaced: make(map[*pool][]*unplacedStep)}
-	for _, j := range s.jobs {
-		if j.open() {
-			c.addJob(j)
+	c := &waitCollector{s: s, now: now, groups: make(map[waitKey]*waitGroup)}
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			c.addHeld(r)
 		}
 	}
-	for p, steps := range c.unplaced {
-		c.addUnplaced(p, steps)
+	for j := range s.unrouted {
+		c.addJob(j)
+	}
+	for _, p := range s.pools {
+		c.addPool(p)
 	}
 	groups := make([]*waitGroup, 0, len(c.groups))
 	for _, g := range c.groups {
@@ -113,8 +119,8 @@
 	s      *Scheduler
 	now    time.Duration
 	groups map[waitKey]*waitGroup
-	// unplaced holds the steps with tasks that wait for a worker.
-	unplaced map[*pool][]*unplacedStep
+	// unplaced holds the steps of the present pool with tasks that wait for a worker.
+	unplaced []*unplacedStep
 }
 
 // unplacedStep is a step with tasks that wait for a worker, the one that has waited longest first.
@@ -122,13 +128,66 @@
 	tasks []*task
 }
 
+// addPool adds the tasks without runs of the pool's first waiting jobs, and the number of all others.
+func (c *waitCollector) addPool(p *pool) {
+	p.update(c.now, c.s.fleet.mayRun)
+	var rest *task
+	jobs, tasks := 0, 0
+	for _, home := range p.backlog.homes() {
+		p.backlog.waiting[home].walk(rank{}, rank{class: classLate + 1}, func(j *job) bool {
+			if jobs == maxReportedJobs {
+				rest = j.waitingTask()
+				return false
+			}
+			jobs++
+			tasks += j.waiting
+			c.addJob(j)
+			return true
+		})
+	}
+	c.addCount(rest, wait{cause: waitUnexplained, since: c.now}, p.backlog.tasks-tasks)
+	if len(c.unplaced) > 0 {
+		c.addUnplaced(p, c.unplaced)
+		c.unplaced = nil
+	}
+}
+
+// waitingTask returns a task of the job that needs a run, or nil if there is none.
+func (j *job) waitingTask() *task {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			i := slices.IndexFunc(step.tasks, (*task).needsRun)
+			if step.waiting > 0 && i >= 0 {
+				return step.tasks[i]
+			}
+		}
+	}
+	return nil
+}
+
+// addHeld adds the task of a run if no run of the task is known to be in progress.
+func (c *waitCollector) addHeld(r *run) {
+	t := r.task
+	if t.runs[0] != r || t.done || !t.step.ready || !t.job().open() {
+		return
+	}
+	held, waits := t.heldByRun()
+	if waits && c.now-held.since >= minReportedWait {
+		c.addCount(t, held, 1)
+	}
+}
+
+// addJob adds the job's tasks without runs.
 func (c *waitCollector) addJob(j *job) {
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
 		}
 		for _, step := range o.steps {
-			if step.ready && step.done < len(step.tasks) {
+			if step.ready && step.waiting > 0 {
 				c.addStep(j, step)
 			}
 		}
@@ -138,24 +197,21 @@
 func (c *waitCollector) addStep(j *job, step *stepState) {
 	unplaced := &unplacedStep{}
 	for _, t := range step.tasks {
-		if t.done {
+		if !t.needsRun() {
 			continue
 		}
-		held, waits := t.heldByRun()
-		if len(t.runs) == 0 {
-			held = c.explain(j, t)
-		}
+		held := c.explain(j, t)
 		switch {
-		case !waits || c.now-held.since < minReportedWait:
+		case c.now-held.since < minReportedWait:
 		case held.cause != "":
-			c.add(t, held)
+			c.addCount(t, held, 1)
 		default:
 			unplaced.tasks = append(unplaced.tasks, t)
 		}
 	}
 	if len(unplaced.tasks) > 0 {
 		slices.SortFunc(unplaced.tasks, func(a, b *task) int { return cmp.Compare(a.readySince, b.readySince) })
-		c.unplaced[j.pool] = append(c.unplaced[j.pool], unplaced)
+		c.unplaced = append(c.unplaced, unplaced)
 	}
 }
 
@@ -204,7 +260,7 @@
 		}
 		for _, t := range step.tasks {
 			held.since = t.readySince
-			c.add(t, held)
+			c.addCount(t, held, 1)
 		}
 	}
 }
@@ -252,7 +308,7 @@
 		}
 		switch {
 		case !room:
-			g.unplaceable = append(g.unplaceable, size)
+			g.markUnplaceable(size)
 		case cause == waitCapacity:
 			cause = waitDataCentre
 		}
@@ -260,7 +316,11 @@
 	return cause
 }
 
-func (c *waitCollector) add(t *task, held wait) {
+// addCount adds n tasks with the same cause, of which one is given, or nil if there is none.
+func (c *waitCollector) addCount(t *task, held wait, n int) {
+	if t == nil || n <= 0 {
+		return
+	}
 	j := t.job()
 	key := waitKey{pool: j.Queue, cause: held.cause}
 	if j.pool != nil {
@@ -271,9 +331,9 @@
 		g = &waitGroup{waitKey: key}
 		c.groups[key] = g
 	}
-	g.tasks++
+	g.tasks += n
 	if t.step.spec.LongRunning {
-		g.longRunning++
+		g.longRunning += n
 	}
 	if g.longest == nil || held.since < g.held.since || held.since == g.held.since && t.id().String() < g.longest.id().String() {
 		g.longest, g.held = t, held
