Stops have a share of a path that starts keep full

What callers saw: cancelled jobs ran on, and capacity that other tasks could have used was freed late: 343 to 720 stops were held back at a limit of 32 for seconds.

Cause: the limit on starts in flight never falls below 384, that on stops falls to 32 while over half of the replies are late. Beside starts that keep a slow path full, every reply is late, and the limit on stops stays at its minimum.

Change: the lowest limit on stops is half of the starts in flight.

--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -188,6 +188,7 @@
 	s.checkWorkers(now)
 	s.checkRuns(now)
 	s.starts.adjust()
+	s.stops.minimum = max(minStopLimit, int(minStopShare*float64(s.starts.inFlight)))
 	s.stops.adjust()
 	if s.checkLease() {
 		s.rebalance(now)
--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -16,7 +16,10 @@
 	// initialStopLimit and minStopLimit are the same for stops, which are sent again when they fail.
 	initialStopLimit = 128
 	minStopLimit     = 32
-	maxOrderLimit    = 4096
+	// minStopShare is the lowest limit on stops as a share of the starts in flight. Where starts keep a slow path full, all
+	// replies are late, so that the limit on stops would stay at its minimum.
+	minStopShare  = 0.5
+	maxOrderLimit = 4096
 	// lateOrder is the time after which the reply to an order counts as late. It is measured without the time that the
 	// reply waits for the control loop.
 	lateOrder = orderTimeout / 2
@@ -102,6 +105,7 @@
 	case w.limited && 8*w.late <= w.ended:
 		w.limit = min(maxOrderLimit, w.limit+w.limit/8)
 	}
+	w.limit = max(w.limit, w.minimum)
 	w.ended, w.late, w.limited = 0, 0, false
 	w.sendWaiting()
 }
