Durations of tasks are learned

What callers saw: in a peak that the fleet can't carry, a job could be served too late or not in time while jobs with more time came first; pools were given too many instances or too few.

Cause: the objective of a job, whether it is late, its place in the order and the capacity that a pool needs came from the callers' estimates alone.

Change: the durations of completed tasks are related to the estimates by a regression of the logarithms, by queue and image; a model replaces the estimates once it has 32 samples over three times the typical duration. Runs of earlier leaders, runs away from their data and those from a checkpoint are left out. A good estimate is kept by the regression.

--- a/keel/schedule/arrivals.go
+++ b/keel/schedule/arrivals.go
@@ -83,7 +83,7 @@
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		if !step.LongRunning && !step.BestEffort {
-			sum += float64(step.Count) * float64(step.Size.MilliCores) * step.Estimate.Seconds()
+			sum += float64(step.Count) * float64(step.Size.MilliCores) * j.estimates[i].Seconds()
 		}
 	}
 	if sum > 0 {
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -178,7 +178,7 @@
 				continue
 			}
 			w.runnable += open
-			w.backlog += int64(step.waiting) * cpu * step.spec.Estimate.Milliseconds() / backlogClearTime.Milliseconds()
+			w.backlog += int64(step.waiting) * cpu * step.estimate.Milliseconds() / backlogClearTime.Milliseconds()
 		}
 	}
 	return w
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -32,11 +32,11 @@
 }
 
 // recordSuccess records that a task was done on the worker.
-func (s *Scheduler) recordSuccess(w *workerState, t *task, r *run) {
+func (s *Scheduler) recordSuccess(w *workerState, r *run) {
 	w.failures.jobs = nil
 	w.failures.avoidances = 0
 	if r != nil && r.confirmedAt != 0 {
-		s.recordDuration(t.step, s.Now()-r.confirmedAt)
+		s.recordDuration(r, s.Now()-r.confirmedAt)
 	}
 }
 
@@ -143,7 +143,7 @@
 		return false
 	}
 	r := t.runs[0]
-	return r.worker.unresponsiveSince != 0 || r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*spec.Estimate+speculationMargin
+	return r.worker.unresponsiveSince != 0 || r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
 }
 
 // checkSpeculation marks the run's job if the task needs a speculative run.
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -48,6 +48,8 @@
 	// entry is what the backlog of the job's pool counts for it; touched is set while that may be out of date.
 	entry   backlogEntry
 	touched bool
+	// estimates holds the expected duration of a task of each step.
+	estimates []time.Duration
 	// criticalPath is the estimated duration of the longest chain of dependent steps.
 	criticalPath time.Duration
 	// onStored holds callbacks to run once the outcome is stored.
@@ -72,6 +74,8 @@
 	tasks      []*task
 	done       int
 	ready      bool
+	// estimate is the expected duration of a task.
+	estimate time.Duration
 	// waiting is the number of tasks that need a run; it is 0 until the step is ready.
 	waiting int
 	// criticalPath is the estimated time from the step's start to the end of the longest chain of steps that depend on
@@ -159,7 +163,7 @@
 	if s.jobs[submission.Job.ID] != nil {
 		return
 	}
-	j := &job{Job: submission.Job, version: submission.Version, inherited: submission.Version < s.minGuard, criticalPath: longestPath(submission.Job.Steps)}
+	j := &job{Job: submission.Job, version: submission.Version, inherited: submission.Version < s.minGuard}
 	j.arrived = s.Now() - max(0, s.Wall()-time.Duration(j.Accepted)*time.Millisecond)
 	s.jobs[j.ID] = j
 	if record.Outcome != nil {
@@ -167,6 +171,7 @@
 		return
 	}
 	s.Log.Write(event.JobTaken, event.Fields{"job": j.ID, "queue": j.Queue, "tasks": j.Tasks(), "source": source, "version": j.version, "shape": formatSteps(j.Job)})
+	s.estimate(j)
 	s.route(j)
 	j.occurrences = make([]*occurrence, j.OccurrenceCount())
 	s.releaseOccurrences(j)
@@ -261,9 +266,12 @@
 		return j.occurrences[k]
 	}
 	o := &occurrence{job: j, index: k}
-	paths := criticalPaths(j.Steps)
+	if j.estimates == nil {
+		s.estimate(j)
+	}
+	paths := criticalPaths(j.Steps, j.estimates)
 	for i := range j.Steps {
-		step := &stepState{occurrence: o, index: i, spec: &j.Steps[i], criticalPath: paths[i]}
+		step := &stepState{occurrence: o, index: i, spec: &j.Steps[i], estimate: j.estimates[i], criticalPath: paths[i]}
 		for n := range j.Steps[i].Count {
 			step.tasks = append(step.tasks, &task{step: step, index: n, nextRun: s.runBase + 1})
 		}
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -49,6 +50,8 @@
 	TaskDuration duration `json:"takes"`
 	// MaxDeviation is the maximum relative deviation of a job's actual task duration from its estimate.
 	MaxDeviation float64 `json:"off"`
+	// EstimateSpread is the standard deviation of the logarithm of an estimate; 0 if the estimates are TaskDuration.
+	EstimateSpread float64 `json:"estimate_spread"`
 }
 
 // duration is a duration in Go notation.
@@ -83,6 +86,9 @@
 			if l.DataCentres > 0 {
 				job.Home = l.dataCentre(len(all))
 			}
+			if st.EstimateSpread > 0 {
+				job.Steps[0].Estimate = time.Duration(math.Exp(st.EstimateSpread*random.NormFloat64()) * float64(st.TaskDuration))
+			}
 			taskDuration := time.Duration(float64(st.TaskDuration) * (1 + st.MaxDeviation*(2*random.Float64()-1)))
 			all = append(all, submission{at: at, job: job, taskDuration: taskDuration, widest: tasks >= st.MaxTasks-(st.MaxTasks-st.MinTasks)/10})
 		}
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -13,9 +13,6 @@
 
 func (t *outageTracker) init() { t.byTable = make(map[string]*outage) }
 
-// recordDuration discards the duration of a completed run; nothing evaluates it at present.
-func (s *Scheduler) recordDuration(*stepState, time.Duration) {}
-
 func (s *Scheduler) countOutcome(j *job, now time.Duration) {
 	late := j.queue != nil && now > j.objective()
 	s.Metrics.addOutcome(string(j.outcome.State), late, now-j.arrived)
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -88,24 +88,3 @@
 	}
 	return max(0, at-j.objective())
 }
-
-// criticalPaths returns for each step the estimated time from its start to the end of the longest chain of steps that
-// depend on it.
-func criticalPaths(steps []work.Step) []time.Duration {
-	paths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		paths[i] += steps[i].Estimate
-		for _, earlier := range steps[i].After {
-			paths[earlier] = max(paths[earlier], paths[i])
-		}
-	}
-	return paths
-}
-
-func longestPath(steps []work.Step) time.Duration {
-	longest := time.Duration(0)
-	for _, t := range criticalPaths(steps) {
-		longest = max(longest, t)
-	}
-	return longest
-}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -234,7 +234,7 @@
 	first := t.runs[0]
 	pl.s.Log.Write(event.TaskCopied, event.Fields{
 		"task": t.id().String(), "run": t.nextRun, "worker": w.ID, "first": first.number, "silent": first.worker.unresponsiveSince != 0,
-		"ordered_ms": (pl.now - first.ordered).Milliseconds(), "estimate_ms": t.step.spec.Estimate.Milliseconds(),
+		"ordered_ms": (pl.now - first.ordered).Milliseconds(), "estimate_ms": t.step.estimate.Milliseconds(),
 	})
 }
 
--- a/keel/schedule/reclaim.go
+++ b/keel/schedule/reclaim.go
@@ -122,5 +122,5 @@
 	if r.task.step.spec.LongRunning || r.confirmedAt == 0 {
 		return time.Hour
 	}
-	return max(0, r.task.step.spec.Estimate-(now-r.confirmedAt))
+	return max(0, r.task.step.estimate-(now-r.confirmedAt))
 }
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -29,6 +29,8 @@
 	ordered time.Duration
 	// confirmedAt is when the worker was first known to have the run, 0 before that.
 	confirmedAt time.Duration
+	// adopted is set for a run that an earlier leader started.
+	adopted bool
 	// inDoubt is set while it is unknown whether a start order without a response will be carried out.
 	inDoubt bool
 	// stopping is set once the run is to be stopped; stopSent is set while a stop order is in flight, and once one has
@@ -245,7 +247,7 @@
 func (s *Scheduler) adopt(t *task, w *workerState, live worker.Run) {
 	r := s.addRun(t, w, live.Run)
 	now := s.Now()
-	r.confirmedAt, r.progressedAt = now, now
+	r.confirmedAt, r.progressedAt, r.adopted = now, now, true
 	t.job().started = true
 	s.updateProgress(r, live, now)
 }
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -79,6 +79,7 @@
 	rosterChanges int64
 	storeClock    storeClock
 	fleet         fleetState
+	durations     durationModels
 	waves         waveState
 	outages       outageTracker
 	// unfenced holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch.
@@ -137,6 +138,7 @@
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
 	s.starts, s.stops = newOrderWindow(initialStartLimit, minStartLimit), newOrderWindow(initialStopLimit, minStopLimit)
 	s.fleet.init()
+	s.durations.init()
 	s.waves.init()
 	s.outages.init()
 	s.raiseGuards()
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -38,7 +38,7 @@
 	}
 	switch end.Kind {
 	case worker.Done:
-		s.recordSuccess(w, t, r)
+		s.recordSuccess(w, r)
 		s.completeTask(t)
 		return j, j.lastChange
 	case worker.Failed:
