Acknowledge ends of a decided job once its outcome is stored

What callers saw: a task that had ended could run a second time after a change of leader.

Cause: an end of a job whose outcome was decided was acknowledged at once, also while the outcome waited to be stored. If the leader failed before that, the next one found the job open, without the end, which the worker had discarded. The same holds for a failure that the leader knew already, from an earlier listing, but had not stored.

Now such an end is acknowledged once the outcome is stored. Both tests fail on the code before: the task of the cancelled job starts twice (invariant 'starts after its end was acknowledged'), and of the gang's ends one is acknowledged while nothing can be stored.

--- /dev/null
+++ b/keel/schedule/ends_test.go
@@ -0,0 +1,74 @@
+package schedule
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/table"
+	"samphirekeel.example/keel/work"
+)
+
+// failCommits makes the store reject all transactions of the leader until the returned function is called.
+func (b *testbed) failCommits() func() {
+	b.onLoop(func() {
+		b.commit = func(context.Context, table.Txn) (table.Result, error) {
+			return table.Result{}, fault.New(fault.PlatformUnavailable, "store unavailable").WithOutcome(fault.NotRun)
+		}
+	})
+	return func() { b.onLoop(func() { b.commit = nil }) }
+}
+
+// Guards against a task that runs again after its end was acknowledged: its job was cancelled, but neither the end nor the
+// cancellation was stored when the leader failed.
+func TestEndOfCancelledJobAcknowledgedAfterStored(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, 300*time.Millisecond), 300*time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+		repair := b.failCommits()
+		b.onLoop(func() { assert.Assert(t, b.s.Cancel(firstJob, func() {})) })
+		time.Sleep(time.Second)
+		b.onLoop(b.s.End)
+		repair()
+		b.startEpoch(2, "p")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 1)
+	})
+}
+
+// Guards against a gang that runs again after the end of a member was acknowledged: the end of another member has completed
+// the job, which wasn't stored when the leader and that member's worker failed.
+func TestEndsOfGangAcknowledgedAfterStored(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 2, 300*time.Millisecond)
+		job.Steps[0].Gang, job.Steps[0].Size.MilliCores = true, 10000
+		b.submit(job, 300*time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+		repair := b.failCommits()
+		time.Sleep(time.Second)
+		var acknowledged []int64
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				acknowledged = append(acknowledged, w.acked)
+			}
+		})
+		assert.DeepEqual(t, acknowledged, []int64{0, 0})
+		b.onLoop(b.s.End)
+		repair()
+		b.startEpoch(2, "p")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 2)
+	})
+}
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -19,8 +19,12 @@
 	if r != nil && r.number == end.Run {
 		s.removeRun(r, string(end.Kind))
 	}
-	if t != nil && j.open() {
+	switch {
+	case t != nil && j.open():
 		pending.job, pending.change = s.applyOpenJobEnd(w, t, end, r)
+	case j != nil && !j.stored:
+		// Until the outcome is stored the next leader may continue the job, and needs this end.
+		pending.job, pending.change = j, j.outcomeChange
 	}
 	if w.orphans[end.Task] == end.Run {
 		delete(w.orphans, end.Task)
@@ -45,8 +49,9 @@
 		failed := work.FailedRun{Step: end.Task.Step, Occurrence: end.Task.Occurrence, Index: end.Task.Index, Run: end.Run, Instance: w.Instance}
 		if s.recordFailure(t, failed) {
 			s.recordWorkerFailure(w, t)
-			return j, s.markDirty(j)
+			s.markDirty(j)
 		}
+		return j, j.lastChange
 	}
 	return nil, 0
 }
