Announce the stored job to the leader, not the resubmitted one

What callers saw: after a change of leader a task could run a second time beside its first run.

Cause: an entry that received a job again, after another entry had stored it without a response, announced its own copy with its own data centre as the job's home. The leader ran tasks there without a record that it may, as they were at home. The next leader read the stored job, with the other home, and did not wait for the workers of that data centre, which might still be running its tasks.

Now storing a job returns the stored submission, and that one is announced. A job stored through the leader's entry is announced by that entry alone.

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -141,7 +141,6 @@
 	if err != nil {
 		return err
 	}
-	s.notifyLeader(job, version)
 	s.Log.Write(event.JobStored, event.Fields{
 		"job": job.ID, "queue": job.Queue, "data_centre": s.Settings.DataCentre, "version": version, "via": via,
 		"took_ms": time.Since(began).Milliseconds(),
@@ -155,10 +154,10 @@
 	writeError(ctx, err)
 }
 
-// storeJob stores the job and returns its version in the store and whether this entry (viaStore) or the leader
-// (viaLeader) stored it. An attempt with an unknown outcome is retried, because the job must not be rejected while it
-// may have been stored; if the caller's timeout ends first, or neither the store nor the leader can be reached any
-// more, the error has the kind OutcomeUnknown.
+// storeJob stores the job and notifies the leader of it. It returns the job's version in the store and whether this entry
+// (viaStore) or the leader (viaLeader) stored it. An attempt with an unknown outcome is retried, because the job must not
+// be rejected while it may have been stored; if the caller's timeout ends first, or neither the store nor the leader can be
+// reached any more, the error has the kind OutcomeUnknown.
 func (s *Entry) storeJob(ctx context.Context, job *work.Job) (uint64, string, error) {
 	maybeStored := false
 	for {
@@ -188,9 +187,13 @@
 			return version, viaLeader, err
 		}
 	}
-	version, err := s.submissions.Submit(ctx, job)
-	if err == nil || fault.As(err).Outcome() != fault.NotRun || fault.IsKind(err, fault.KeyReused) {
-		return version, viaStore, err
+	stored, err := s.submissions.Submit(ctx, job)
+	if err == nil {
+		s.notifyLeader(stored)
+		return stored.Version, viaStore, nil
+	}
+	if fault.As(err).Outcome() != fault.NotRun || fault.IsKind(err, fault.KeyReused) {
+		return 0, viaStore, err
 	}
 	forwardedVersion, forwardErr := s.forwardJob(ctx, job)
 	if forwardErr == nil || fault.As(forwardErr).Outcome() != fault.NotRun {
--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -80,13 +80,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	version, err := s.submissions.Submit(ctx, in.Job)
+	stored, err := s.submissions.Submit(ctx, in.Job)
 	if err != nil {
 		failure := fault.As(err)
 		return acceptResponse{Kind: failure.Kind().String(), Text: failure.Text(), NotStored: failure.Outcome() == fault.NotRun}
 	}
-	s.notifyLeader(in.Job, version)
-	return acceptResponse{Version: version}
+	s.notifyLeader(stored)
+	return acceptResponse{Version: stored.Version}
 }
 
 // forwardJob stores the job through the leader and returns its version in the store.
@@ -188,13 +188,13 @@
 	return response, err == nil && response.Known
 }
 
-// notifyLeader notifies the leader of a stored job without waiting for the response.
-func (s *Entry) notifyLeader(job *work.Job, version uint64) {
+// notifyLeader notifies the leader of a stored job that hasn't ended, without waiting for the response.
+func (s *Entry) notifyLeader(stored ledger.Submission) {
 	record := s.lease.Leader()
-	if record.Holder == "" {
+	if record.Holder == "" || stored.Job == nil {
 		return
 	}
-	in := submission{Job: job, Version: version}
+	in := submission{Job: stored.Job, Version: stored.Version}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -49,22 +49,23 @@
 }
 
 type commitResult struct {
-	version uint64
-	err     error
+	stored Submission
+	err    error
 }
 
 // Latency returns the duration of the latest transaction.
 func (w *SubmissionWriter) Latency() time.Duration { return time.Duration(w.latency.Load()) }
 
-// Submit stores a job and returns the version of its row; it fails with kind KeyReused if the ID was used for another
-// job, and with outcome Unknown if the job may have been stored or may still be.
-func (w *SubmissionWriter) Submit(ctx context.Context, job *work.Job) (uint64, error) {
+// Submit stores a job and returns the stored submission. If the job was stored before, that is the earlier one, whose home
+// data centre may differ, or its stub. It fails with kind KeyReused if the ID was used for another job, and with outcome
+// Unknown if the job may have been stored or may still be.
+func (w *SubmissionWriter) Submit(ctx context.Context, job *work.Job) (Submission, error) {
 	s := &pendingSubmission{job: job, body: Encode(job), result: make(chan commitResult, 1)}
 	q := &w.queues[partitionNumber(job.ID)]
 	q.mu.Lock()
 	if len(q.pending) >= maxBacklog {
 		q.mu.Unlock()
-		return 0, fault.New(fault.Overloaded, "submission backlog is full: %d waiting to be stored", maxBacklog).WithOutcome(fault.NotRun)
+		return Submission{}, fault.New(fault.Overloaded, "submission backlog is full: %d waiting to be stored", maxBacklog).WithOutcome(fault.NotRun)
 	}
 	q.pending = append(q.pending, s)
 	start := !q.committing
@@ -75,23 +76,23 @@
 	}
 	select {
 	case r := <-s.result:
-		return r.version, r.err
+		return r.stored, r.err
 	case <-ctx.Done():
 		return w.abandon(q, s)
 	}
 }
 
 // abandon withdraws a submission that isn't in a transaction yet; the outcome of any other is unknown.
-func (w *SubmissionWriter) abandon(q *partitionQueue, s *pendingSubmission) (uint64, error) {
+func (w *SubmissionWriter) abandon(q *partitionQueue, s *pendingSubmission) (Submission, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, pending := range q.pending {
 		if pending == s {
 			s.abandoned = true
-			return 0, fault.New(fault.PlatformUnavailable, "job %s was not sent to the store before the deadline", s.job.ID).WithOutcome(fault.NotRun)
+			return Submission{}, fault.New(fault.PlatformUnavailable, "job %s was not sent to the store before the deadline", s.job.ID).WithOutcome(fault.NotRun)
 		}
 	}
-	return 0, fault.New(fault.PlatformUnavailable, "job %s: the store did not respond before the deadline", s.job.ID).WithOutcome(fault.Unknown)
+	return Submission{}, fault.New(fault.PlatformUnavailable, "job %s: the store did not respond before the deadline", s.job.ID).WithOutcome(fault.Unknown)
 }
 
 // commitAll stores the pending submissions of a partition until there are none.
@@ -143,7 +144,7 @@
 		cancel()
 		w.latency.Store(int64(time.Since(start)))
 		if !fault.IsKind(err, fault.Conflict) || len(result.Current) == 0 {
-			resolveAll(batch, commitResult{version: result.Version, err: unknownIfConflict(err)})
+			resolveAll(batch, result.Version, unknownIfConflict(err))
 			return
 		}
 		batch = resolveExisting(batch, result.Current)
@@ -159,9 +160,9 @@
 	return fault.Wrap(fault.PlatformUnavailable, err, "submission conflict without an existing row").WithOutcome(fault.Unknown)
 }
 
-func resolveAll(batch []*pendingSubmission, r commitResult) {
+func resolveAll(batch []*pendingSubmission, version uint64, err error) {
 	for _, s := range batch {
-		s.result <- r
+		s.result <- commitResult{stored: Submission{Job: s.job, Version: version, Digest: s.job.Digest}, err: err}
 	}
 }
 
@@ -192,5 +193,5 @@
 	if stored.Digest != job.Digest {
 		return commitResult{err: fault.New(fault.KeyReused, "job %s was submitted with another body", job.ID)}
 	}
-	return commitResult{version: stored.Version}
+	return commitResult{stored: stored}
 }
--- a/keel/schedule/ends_test.go
+++ b/keel/schedule/ends_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 )
@@ -72,3 +73,31 @@
 		assert.Equal(t, b.fleet.Starts, 2)
 	})
 }
+
+// Guards against a second run beside the first one after a change of leader: the entry that announced the job isn't the one
+// that stored it, and has another home data centre than the stored job.
+func TestAnnouncedJobIsTheStoredOne(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstanceIn("m1", "a")
+		b.addInstanceIn("m2", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		stored := singleStepJob(firstJob, "p", 1, 3*time.Second)
+		stored.Home = "a"
+		submissions := &ledger.SubmissionWriter{Store: b.store.Client("entry")}
+		_, err := submissions.Submit(context.Background(), stored)
+		assert.NilError(t, err)
+		again := singleStepJob(firstJob, "p", 1, 3*time.Second)
+		again.Home = "b"
+		b.submit(again, 3*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		host := b.hosts()[0]
+		b.fleet.SetUnreachable(true, host.Instance)
+		b.nextEpoch()
+		time.Sleep(2 * time.Second)
+		b.fleet.SetUnreachable(false, host.Instance)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 1)
+	})
+}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -242,10 +242,10 @@
 	job.Accepted = time.Now().UnixMilli()
 	b.checker.Submitted(job, durations, false)
 	submissions := &ledger.SubmissionWriter{Store: b.store.Client("entry")}
-	version, err := submissions.Submit(context.Background(), job)
+	stored, err := submissions.Submit(context.Background(), job)
 	assert.NilError(b.t, err)
 	b.checker.Accepted(job.ID)
-	b.onLoop(func() { b.s.AddJob(job, version) })
+	b.onLoop(func() { b.s.AddJob(stored.Job, stored.Version) })
 }
 
 // firstJob is the ID of the job that most tests submit.
