Emulator: check ends that are acknowledged after a second start

RULES.md counts a start after a run has ended done also if that end is taken note of later, unless the worker's lease has lapsed in between.

--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -62,6 +62,9 @@
 	failures int
 	// ends lists the ends of the task's runs.
 	ends []endRecord
+	// step is the task's step and startedAt the time at which its last run started; neither is set before its first start.
+	step      *work.Step
+	startedAt time.Time
 	// unavailableSince is the time at which the last run of a long-running task ended.
 	unavailableSince time.Time
 	// disrupted reports that an order ended a ready run of a long-running task, until the task is ready again.
@@ -78,6 +81,7 @@
 	worker *Worker
 	number int64
 	kind   worker.EndKind
+	at     time.Time
 }
 
 // waveRecord is the true state of a maintenance wave, with the instances that were taken down for it and those still
@@ -213,6 +217,7 @@
 	task := j.task(o.Task)
 	c.checkStart(w, j, task, step, o)
 	task.running[&run{task: o.Task, number: o.Run}] = w
+	task.step, task.startedAt = step, time.Now()
 	return step, c.taskDuration(w, j, step, o.Task)
 }
 
--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	task.ends = append(task.ends, endRecord{worker: w, number: w.lastEnd, kind: kind})
+	task.ends = append(task.ends, endRecord{worker: w, number: w.lastEnd, kind: kind, at: time.Now()})
 }
 
 // recordAcknowledgement records that a scheduler has acknowledged the ends of a worker up to a number.
@@ -124,6 +124,7 @@
 		task := j.task(e.Task)
 		switch e.Kind {
 		case worker.Done:
+			c.checkNotRepeated(w, task, e)
 			if task.acknowledgedAt.IsZero() {
 				task.acknowledgedAt = time.Now()
 			}
@@ -133,6 +134,19 @@
 	}
 }
 
+// checkNotRepeated reports a task that has started again after the end that is being acknowledged. It may have if the lease
+// of the worker that holds the end has expired since then.
+func (c *Checker) checkNotRepeated(w *Worker, task *taskRecord, end worker.End) {
+	if end.Number <= w.lapsedEnd || task.step == nil || task.step.Speculative {
+		return
+	}
+	for _, e := range task.ends {
+		if e.worker == w && e.number == end.Number && task.startedAt.After(e.at) {
+			c.reportLocked("%s run %d has ended on %s, which is acknowledged after the task has started again", end.Task, end.Run, w.id)
+		}
+	}
+}
+
 // checkStop checks an order to stop a run against the disruption budget of its step.
 func (c *Checker) checkStop(w *Worker, r *run) {
 	c.mu.Lock()
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -53,6 +53,8 @@
 	lastEnd int64
 	// acknowledged is the number of the last end that a scheduler has acknowledged.
 	acknowledged int64
+	// lapsedEnd is the number of the last end before the lease last expired.
+	lapsedEnd int64
 
 	// bootedAt, clockRate and clockOffset define the worker's clock, which is slow and starts at an arbitrary time.
 	bootedAt    time.Time
@@ -180,7 +182,15 @@
 	return false
 }
 
+// recordLapse records the last end before the lease expired, if it has.
+func (w *Worker) recordLapse() {
+	if w.clock() >= w.leaseEnd {
+		w.lapsedEnd = w.lastEnd
+	}
+}
+
 func (w *Worker) extendLease(end time.Duration) {
+	w.recordLapse()
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock()+w.fleet.Times.LeaseMax))
 }
 
@@ -281,6 +291,7 @@
 	}
 	f.Renewals++
 	w.updateLocked()
+	w.recordLapse()
 	if w.fenced(o.Token) {
 		return worker.Status{Reply: worker.Reply{Clock: w.clock(), Refusal: worker.Fenced}}, w.changed, true
 	}
