Keep a worker in the roster until its ends are stored

What callers saw: a task that had ended could run again after a change of leader, and the end of its first run was acknowledged afterwards.

Cause: a worker without a registration, as after a partition of its data centre from the store, was removed from the roster as soon as its last run had ended, also while that end waited to be stored. If the leader failed then, the next one neither had the end nor waited for the worker that still reports it.

Now the worker leaves the roster once its ends are stored.

--- a/keel/schedule/ends_test.go
+++ b/keel/schedule/ends_test.go
@@ -101,3 +101,39 @@
 		assert.Equal(t, b.fleet.Starts, 1)
 	})
 }
+
+// Guards against a task that starts again although the end of its first run is acknowledged later. The worker's registration
+// was gone, so that it left the roster while that end wasn't stored, and the next leader didn't wait for the worker.
+func TestWorkerWithEndsToStoreStaysInRoster(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		// The other instance stays in the pool.
+		b.fleet.SetServiceUnavailable(true)
+		b.submit(singleStepJob(firstJob, "p", 1, 6*time.Second), 6*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		host := b.hosts()[0]
+		b.fleet.SetSilent(true, host.Instance)
+		time.Sleep(5 * time.Second)
+		b.rejectInvalid(func(txn table.Txn) bool {
+			for _, w := range txn.Writes {
+				if w.Table == ledger.JobRecords {
+					return true
+				}
+			}
+			return false
+		})
+		time.Sleep(3 * time.Second)
+		b.onLoop(b.s.End)
+		b.commit = nil
+		b.startEpoch(2, "p")
+		time.Sleep(200 * time.Millisecond)
+		b.fleet.SetSilent(false, host.Instance)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 1)
+		b.fleet.SetServiceUnavailable(false)
+	})
+}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -208,7 +208,7 @@
 		switch {
 		case w.leaseExpiry != 0 && now > w.leaseExpiry:
 			s.expireWorkerLease(w)
-		case !w.registered && len(w.runs)+len(w.orphans) == 0 && (w.fenced || w.leaseExpiry == 0):
+		case !w.registered && !w.inUse() && (w.fenced || w.leaseExpiry == 0):
 			s.removeWorker(w, "its registration was removed and nothing runs on it")
 		case !w.renewing && !w.renewalPlanned && (len(w.runs) > 0 || now-w.renewedAt > idleRenewInterval || !w.fenced):
 			s.renew(w)
@@ -229,7 +229,7 @@
 	if w.unresponsiveSince == 0 {
 		s.stopLateStarts(w)
 	}
-	if !w.registered {
+	if !w.registered && !w.inUse() {
 		s.removeWorker(w, "its lease has expired and its registration was removed")
 	}
 }
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -136,6 +136,10 @@
 	return w.clockValue + elapsed + duration
 }
 
+// inUse reports whether the worker may have runs or has ends that aren't stored. It must stay in the roster until then, so
+// that the next leader waits for it.
+func (w *workerState) inUse() bool { return len(w.runs)+len(w.orphans)+len(w.ends) > 0 }
+
 // hasConfirmedRun reports whether the worker has responded to the start order of one of its runs or has listed one.
 func (w *workerState) hasConfirmedRun() bool {
 	for _, r := range w.runs {
@@ -210,7 +214,7 @@
 		return
 	}
 	w.registered = false
-	if len(w.runs)+len(w.orphans) == 0 && w.fenced {
+	if !w.inUse() && w.fenced {
 		s.removeWorker(w, "its registration was removed and nothing runs on it")
 	}
 }
