Log how long changes wait for the ledger

Whether a task's end was lost because it waited for the ledger can't be told from the logs so far: they have neither the number of changes that wait nor how long they do.

--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -47,6 +47,7 @@
 	LeaseValidityChanged
 	TasksWaiting
 	OrdersInFlight
+	LedgerProgress
 )
 
 var scheduleEvents = []Definition{
@@ -92,5 +93,6 @@
 	{LeaseValidityChanged, "lease_validity_changed", logrus.WarnLevel, "the leader's lease has expired, so that it sends no orders, or is valid again", []string{"epoch", "valid"}},
 	{TasksWaiting, "tasks_waiting", logrus.InfoLevel, "tasks of a pool should run and have had no run for 2 s, by cause, with the task that has waited longest, the worker that holds it and the time until the wait ends by itself (0 if it doesn't); the cause none means that a worker has room for the task", []string{"pool", "cause", "tasks", "long_running", "task", "waited_ms", "worker", "ends_in_ms"}},
 	{OrdersInFlight, "orders_in_flight", logrus.InfoLevel, "the orders to start and to stop runs in flight, their limits and average latencies are logged periodically; a start over the limit waits for the next placement pass, a stop is held; with the placement passes since the last line: their duration, that of the longest one, and the longest time by which the busy control loop delayed one", []string{"starts", "start_limit", "stops", "stop_limit", "stops_held", "start_ms", "stop_ms", "passes", "passes_ms", "longest_pass_ms", "loop_delay_ms"}},
+	{LedgerProgress, "ledger_progress", logrus.InfoLevel, "the jobs whose changes the ledger has stored since the last line, with the longest time that one waited for it, and the jobs whose changes wait, with the longest wait so far", []string{"stored", "longest_ms", "waiting", "oldest_ms", "commit_ms"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -35,7 +35,9 @@
 	stored        bool
 	// lastChange is the number of the last change; storedChange is the number of the last change in the ledger.
 	lastChange, storedChange uint64
-	dirty                    bool
+	// dirty is set while a change waits for the ledger, the first since dirtySince.
+	dirty      bool
+	dirtySince time.Duration
 	// remoteDataCentres holds the data centres other than the job's home in which tasks may run, with the number of the
 	// change that must be stored before the first task starts there.
 	remoteDataCentres map[string]uint64
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -64,7 +64,8 @@
 	pendingStubs   []*job
 	stubbedAt      time.Duration
 	// stale holds obsolete rows by partition, with the versions under which they may be removed.
-	stale map[string][]table.Condition
+	stale    map[string][]table.Condition
+	progress ledgerProgress
 	// inDoubt holds the partitions in which a write with unknown outcome may still take effect. Their guard is raised
 	// before the next write.
 	inDoubt map[string]bool
@@ -90,7 +91,7 @@
 func (s *Scheduler) markDirty(j *job) uint64 {
 	j.lastChange++
 	if !j.dirty {
-		j.dirty = true
+		j.dirty, j.dirtySince = true, s.Now()
 		s.ledger.normal = append(s.ledger.normal, j)
 	}
 	s.ledger.scheduleFlush()
@@ -101,7 +102,9 @@
 func (s *Scheduler) markUrgent(j *job) {
 	j.lastChange++
 	j.outcomeChange = j.lastChange
-	j.dirty = true
+	if !j.dirty {
+		j.dirty, j.dirtySince = true, s.Now()
+	}
 	s.ledger.urgent = append(s.ledger.urgent, j)
 	s.ledger.flush()
 }
@@ -141,11 +144,13 @@
 		return
 	}
 	l.writing = true
+	l.progress.batch = nil
 	if l.inDoubt[l.partitions[l.current]] {
 		l.raiseGuard(l.partitions[l.current])
 		return
 	}
 	b := l.nextBatch()
+	l.progress.batch = b
 	call(l.s, l.timeout(), func(ctx context.Context) (table.Result, error) { return l.s.Store.Commit(ctx, b.txn) },
 		func(result table.Result, err error) {
 			l.latency = l.s.Now() - now
@@ -189,6 +194,8 @@
 	txn       table.Txn
 	jobs      []*job
 	changes   []uint64
+	// since holds when the changes were made.
+	since     []time.Duration
 	extraRows []extraRow
 	// bytes is the total size of the values.
 	bytes int
@@ -228,6 +235,7 @@
 			}
 			j.dirty = false
 			b.jobs = append(b.jobs, j)
+			b.since = append(b.since, j.dirtySince)
 			b.changes = append(b.changes, j.lastChange)
 		}
 		jobs = jobs[1:]
@@ -267,6 +275,7 @@
 
 func (l *ledgerWriter) handleCommit(b *ledgerBatch, version uint64, err error) {
 	l.writing = false
+	l.progress.batch = nil
 	l.s.Metrics.addCommit(b.txn.Size(), err)
 	if err != nil {
 		l.requeue(b, err)
@@ -277,6 +286,8 @@
 	now := l.s.Now()
 	for i, j := range b.jobs {
 		j.storedChange = max(j.storedChange, b.changes[i])
+		l.progress.stored++
+		l.progress.longest = max(l.progress.longest, now-b.since[i])
 		l.outcomeStored(j, now)
 	}
 	for _, e := range b.extraRows {
@@ -341,11 +352,12 @@
 
 // queueAgain queues the rows of a failed batch.
 func (l *ledgerWriter) queueAgain(b *ledgerBatch) {
-	for _, j := range b.jobs {
+	for i, j := range b.jobs {
 		if !j.dirty {
 			j.dirty = true
 			l.urgent = append(l.urgent, j)
 		}
+		j.dirtySince = b.since[i]
 	}
 	l.extraRows = append(b.extraRows, l.extraRows...)
 }
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -197,6 +197,7 @@
 		s.advanceWaves(now)
 	}
 	s.cleanUp(now)
+	s.ledger.logProgress(now)
 	s.schedulePlan()
 }
 
