--- a/keel/schedule/ends_test.go
+++ b/keel/schedule/ends_test.go
@@ -137,3 +137,36 @@
 		b.fleet.SetServiceUnavailable(false)
 	})
 }
+
+// Guards against a task that starts again after its end was acknowledged. The worker had no registration when its runs ended,
+// as after a partition, and listed their ends again when it registered; by then they had completed the job, which wasn't
+// stored.
+func TestEndsListedAgainAcknowledgedAfterStored(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 2, 6*time.Second), 6*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		host := b.hosts()[0]
+		b.fleet.SetSilent(true, host.Instance)
+		time.Sleep(5 * time.Second)
+		b.rejectInvalid(func(txn table.Txn) bool {
+			for _, w := range txn.Writes {
+				if w.Table == ledger.JobRecords {
+					return true
+				}
+			}
+			return false
+		})
+		time.Sleep(time.Second)
+		b.fleet.SetSilent(false, host.Instance)
+		time.Sleep(2 * time.Second)
+		b.onLoop(b.s.End)
+		b.commit = nil
+		b.startEpoch(2, "p")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 2)
+	})
+}
