Move no instance whose worker has ends to store

What callers saw: tasks that had ended ran again after a change of leader, and their jobs were late by the second run.

Cause: an instance counted as idle once its last run had ended. A move, or the start of its maintenance, ends the worker, and with it the only copy of the ends that the ledger doesn't have yet.

TestInstanceWithEndsToStoreIsNotMoved fails before: 1 order instead of none.

--- a/keel/schedule/ends_test.go
+++ b/keel/schedule/ends_test.go
@@ -170,3 +170,27 @@
 		assert.Equal(t, b.fleet.Starts, 2)
 	})
 }
+
+// Guards against tasks that start again because the leader fails after it has moved the instance that still reports their
+// ends, before these are stored.
+func TestInstanceWithEndsToStoreIsNotMoved(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.addInstance("m2")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 2, 300*time.Millisecond)
+		job.Steps[0].Size.MilliCores = 10000
+		b.submit(job, 300*time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+		repair := b.failCommits()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(b.orders()), 0)
+		b.onLoop(b.s.End)
+		repair()
+		b.startEpoch(2, "p")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.fleet.Starts, 2)
+	})
+}
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -99,13 +99,15 @@
 	return all
 }
 
-// movable reports whether the instance may be ordered into the pool now.
+// movable reports whether the instance may be ordered into the pool now. Ends that aren't stored would be lost with its
+// worker if the leader failed.
 func (s *Scheduler) movable(i provider.Instance, to string, rateShare float64, now time.Duration) bool {
 	if i.ID == "" || i.State != provider.Up || s.fleet.unsuitable[i.ID][to] || !s.mayOrder(i.ID, rateShare, now) {
 		return false
 	}
+	w := s.workerOf[i.ID]
 	_, incoming := s.fleet.incoming[i.ID]
-	return !incoming
+	return !incoming && (w == nil || len(w.ends) == 0)
 }
 
 // scaleDown moves instances that have been idle for scaleDownIdleTime to a spare pool.
