A list of runs follows the stop of a start in doubt at once

TestBacklogOnSlowPath found 198 of 200 jobs completed in some runs (7 of 40 in the list, 5 of 67 here). The product is at fault, not the test. The trace of a failing run: 16 starts on one worker time out at 1.264 s and are in doubt. Their stops queue behind the backlog of starts and are accepted between 2.545 and 2.894 s. A stop that is accepted counts as a confirmation, so that the renewal at 2.549 s is held open for 1.2 s although nothing runs on the worker. Its list is from 3.752 s, but the request is older than 14 of the stops, so these runs stay; the next renewal is held open for 1.2 s again, and at 4.967 s the 14 tasks can start anew. The runs of the test differ in which of the orders that wait for the path at the same time comes first: if all stops of a worker are accepted before its next renewal, one renewal suffices.

Before the first stop is accepted, on the other hand, the worker was renewed every 15 ms, 67 times per second, although no list can settle a start in doubt before its stop. A leader that lacks processor time, so that many starts time out, then sends thousands of renewals per second, which may make more starts time out (not measured).

Now a renewal is not held open while the worker has accepted the stop of a start in doubt and hasn't listed the run since, and is held open for 0.1 s while a start is in doubt and the last list is recent.

--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -39,10 +39,10 @@
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
 	if w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
 		order.LeaseEnd = s.extendLease(w)
-		if len(w.ends) == 0 && w.hasConfirmedRun() {
-			order.Wait = renewWait
-			order.EndsSuffice = now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
+		if len(w.ends) == 0 {
+			order.Wait = w.renewalWait(now)
 		}
+		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
 	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
 		w.renewing = false
@@ -96,6 +96,25 @@
 	s.scheduleNextRenewal(w)
 }
 
+// renewalWait returns how long the worker is to hold the next renewal open for a run to end.
+func (w *workerState) renewalWait(now time.Duration) time.Duration {
+	inDoubt := false
+	for _, r := range w.runs {
+		if r.stopAcceptedInDoubt() {
+			// The run may have no end, so only the next list shows that it is gone.
+			return 0
+		}
+		inDoubt = inDoubt || r.inDoubt
+	}
+	switch {
+	case inDoubt && now-w.listedAt < listingInterval:
+		return doubtRenewWait
+	case inDoubt || !w.hasConfirmedRun():
+		return 0
+	}
+	return renewWait
+}
+
 // hasDoubtfulRun reports whether only a list of the worker's runs can show whether some run is there.
 func (w *workerState) hasDoubtfulRun() bool {
 	if len(w.orphans) > 0 {
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -51,6 +51,12 @@
 	voluntary bool
 }
 
+// stopAcceptedInDoubt reports whether the worker has accepted a stop of the run and it isn't known whether the run had
+// started before.
+func (r *run) stopAcceptedInDoubt() bool {
+	return r.confirmedAt != 0 && r.progressedAt == 0 && r.listedAt == 0
+}
+
 func sortedRuns(runs map[work.TaskID]*run) []*run {
 	all := make([]*run, 0, len(runs))
 	for _, r := range runs {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -21,6 +21,9 @@
 	startLease = 2 * time.Second
 	// renewWait is how long a worker with runs holds a renewal request open for a run to end.
 	renewWait = 1200 * time.Millisecond
+	// doubtRenewWait is the same for a worker with starts in doubt, whose list is needed soon after it has accepted the
+	// orders to stop them.
+	doubtRenewWait = 100 * time.Millisecond
 	// renewTimeoutMargin is added to the wait of a renewal request for its timeout.
 	renewTimeoutMargin = 350 * time.Millisecond
 	// minRenewInterval is the minimum interval between renewals of a worker's lease.
