Fields of dropped log lines aren't built

At a peak the leader writes two lines a task, of which the rate limit drops most; their fields were built all the same. They are now built only for a line that is written.

--- a/keel/event/log.go
+++ b/keel/event/log.go
@@ -44,13 +44,21 @@
 
 // Write logs the event with its fields at the level of its definition.
 func (l *Log) Write(id ID, fields Fields) {
-	if !l.Enabled(id) {
-		return
+	if l.admits(id) {
+		l.write(id, fields)
 	}
-	if l.admit != nil && !l.admit(byID[id].Level) {
-		return
+}
+
+// WriteFunc is Write for frequent events: it calls fields only if the level and the rate limit let the line be written.
+func (l *Log) WriteFunc(id ID, fields func() Fields) {
+	if l.admits(id) {
+		l.write(id, fields())
 	}
-	l.write(id, fields)
+}
+
+// admits reports whether the level and the rate limit let the event be written.
+func (l *Log) admits(id ID) bool {
+	return l.Enabled(id) && (l.admit == nil || l.admit(byID[id].Level))
 }
 
 // write logs the event regardless of the rate limit.
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -172,7 +172,9 @@
 		j.outcome, j.stored, j.ended = record.Outcome, true, s.Now()
 		return
 	}
-	s.Log.Write(event.JobTaken, event.Fields{"job": j.ID, "queue": j.Queue, "tasks": j.Tasks(), "source": source, "version": j.version, "shape": formatSteps(j.Job)})
+	s.Log.WriteFunc(event.JobTaken, func() event.Fields {
+		return event.Fields{"job": j.ID, "queue": j.Queue, "tasks": j.Tasks(), "source": source, "version": j.version, "shape": formatSteps(j.Job)}
+	})
 	s.estimate(j)
 	s.route(j)
 	j.occurrences = make([]*occurrence, j.OccurrenceCount())
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -312,9 +312,11 @@
 	j.stored, j.ended = true, now
 	l.pendingStubs = append(l.pendingStubs, j)
 	l.s.countOutcome(j, now)
-	l.s.Log.Write(event.JobFinished, event.Fields{
-		"job": j.ID, "state": string(j.outcome.State), "reason": j.outcome.Reason, "age_ms": (now - j.arrived).Milliseconds(),
-		"late_ms": j.lateness(now).Milliseconds(),
+	l.s.Log.WriteFunc(event.JobFinished, func() event.Fields {
+		return event.Fields{
+			"job": j.ID, "state": string(j.outcome.State), "reason": j.outcome.Reason, "age_ms": (now - j.arrived).Milliseconds(),
+			"late_ms": j.lateness(now).Milliseconds(),
+		}
 	})
 	for _, done := range j.onStored {
 		done()
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -169,9 +169,11 @@
 		r.confirmedAt, r.progressedAt = now, now
 		r.inDoubt = false
 		s.Metrics.addStart(now - r.ordered)
-		s.Log.Write(event.TaskStarted, event.Fields{
-			"task": r.task.id().String(), "run": r.number, "worker": w.ID, "free": w.free().MilliCores,
-			"waited_ms": (r.ordered - r.task.readySince).Milliseconds(), "took_ms": (now - r.ordered).Milliseconds(),
+		s.Log.WriteFunc(event.TaskStarted, func() event.Fields {
+			return event.Fields{
+				"task": r.task.id().String(), "run": r.number, "worker": w.ID, "free": w.free().MilliCores,
+				"waited_ms": (r.ordered - r.task.readySince).Milliseconds(), "took_ms": (now - r.ordered).Milliseconds(),
+			}
 		})
 		if r.stopping {
 			s.sendStop(r)
@@ -209,7 +211,9 @@
 
 // abandonStart removes a run that is certain not to have started.
 func (s *Scheduler) abandonStart(r *run, reason string) {
-	s.Log.Write(event.TaskRefused, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason})
+	s.Log.WriteFunc(event.TaskRefused, func() event.Fields {
+		return event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason}
+	})
 	s.removeRun(r, reason)
 	s.stopGang(r.task)
 }
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -26,7 +26,9 @@
 		return
 	}
 	r.stopping, r.stopReason, r.stoppingSince = true, reason, s.Now()
-	s.Log.Write(event.TaskStopped, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason})
+	s.Log.WriteFunc(event.TaskStopped, func() event.Fields {
+		return event.Fields{"task": r.task.id().String(), "run": r.number, "worker": r.worker.ID, "reason": reason}
+	})
 	if r.confirmedAt != 0 || r.inDoubt {
 		s.sendStop(r)
 	}
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -11,7 +11,9 @@
 // applyEnd applies the end of a run that the worker reports. The worker keeps the end until the change that follows
 // from it is stored.
 func (s *Scheduler) applyEnd(w *workerState, end worker.End) {
-	s.Log.Write(event.TaskEnded, event.Fields{"task": end.Task.String(), "run": end.Run, "worker": w.ID, "kind": string(end.Kind), "number": end.Number})
+	s.Log.WriteFunc(event.TaskEnded, func() event.Fields {
+		return event.Fields{"task": end.Task.String(), "run": end.Run, "worker": w.ID, "kind": string(end.Kind), "number": end.Number}
+	})
 	j := s.jobs[end.Task.Job]
 	t := s.task(j, end.Task)
 	pending := pendingEnd{number: end.Number}
