Encode ledger rows of open jobs directly

The leader writes about one row a task. Each built the sets of done tasks anew and went through encoding/json. Steps now keep the set, and the row is encoded directly, byte for byte as before.

--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -75,7 +75,9 @@
 	spec       *work.Step
 	tasks      []*task
 	done       int
-	ready      bool
+	// doneTasks is the set of the tasks that are done.
+	doneTasks work.BitSet
+	ready     bool
 	// estimate is the expected duration of a task.
 	estimate time.Duration
 	// waiting is the number of tasks that need a run; it is 0 until the step is ready.
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -16,6 +16,7 @@
 	}
 	t.done = true
 	t.step.done++
+	t.step.doneTasks = t.step.doneTasks.With(t.index)
 	t.job().touch()
 	if t.step.done < len(t.step.tasks) {
 		return
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -230,7 +230,7 @@
 	for len(jobs) > 0 {
 		j := jobs[0]
 		if j.dirty {
-			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: ledger.Encode(jobRecord(j))}, maxRows) {
+			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: encodeRecord(j)}, maxRows) {
 				break
 			}
 			j.dirty = false
@@ -243,34 +243,39 @@
 	return jobs
 }
 
-// jobRecord returns the record of the job that the ledger stores.
-func jobRecord(j *job) ledger.JobRecord {
+// encodeRecord returns the encoded record of the job that the ledger stores.
+func encodeRecord(j *job) []byte {
 	if j.outcome != nil {
-		return ledger.JobRecord{Outcome: j.outcome}
+		return ledger.Encode(ledger.JobRecord{Outcome: j.outcome})
+	}
+	p := &work.Progress{Started: j.started, Failures: j.failures, Checkpoints: j.checkpoints}
+	if len(j.remoteDataCentres) > 0 {
+		p.RemoteDataCentres = slices.Sorted(maps.Keys(j.remoteDataCentres))
 	}
-	p := &work.Progress{Started: j.started, RemoteDataCentres: slices.Sorted(maps.Keys(j.remoteDataCentres)), Failures: j.failures, Checkpoints: j.checkpoints}
 	for k, o := range j.occurrences {
-		if o == nil {
+		if o == nil || !o.anyDone() {
 			continue
 		}
-		bits := make([]work.BitSet, len(o.steps))
-		anyDone := false
-		for i, step := range o.steps {
-			for _, t := range step.tasks {
-				if t.done {
-					bits[i] = bits[i].With(t.index)
-					anyDone = true
-				}
-			}
-		}
-		if anyDone {
-			if p.Done == nil {
-				p.Done = make(map[int][]work.BitSet)
-			}
-			p.Done[k] = bits
+		if p.Done == nil {
+			p.Done = make(map[int][]work.BitSet)
 		}
+		p.Done[k] = o.doneTasks()
+	}
+	return ledger.EncodeProgress(p)
+}
+
+// anyDone reports whether some task is done.
+func (o *occurrence) anyDone() bool {
+	return slices.ContainsFunc(o.steps, func(step *stepState) bool { return step.done > 0 })
+}
+
+// doneTasks returns the sets of the tasks that are done by step.
+func (o *occurrence) doneTasks() []work.BitSet {
+	done := make([]work.BitSet, len(o.steps))
+	for i, step := range o.steps {
+		done[i] = step.doneTasks
 	}
-	return ledger.JobRecord{Progress: p}
+	return done
 }
 
 func (l *ledgerWriter) handleCommit(b *ledgerBatch, version uint64, err error) {
