--- a/keel/relay/compact.go
+++ b/keel/relay/compact.go
@@ -136,46 +136,58 @@
 
 func (o *Order) decode(data []byte) error {
 	return decodeFields(data, func(f field) error {
-		switch f.number {
-		case orderID:
-			o.ID = f.value
-		case orderKind:
-			o.Kind = kind(f.int())
-		case orderWorker:
-			o.Worker = string(f.bytes)
-		case orderAddress:
-			o.Address = string(f.bytes)
-		case orderToken:
-			o.Token = f.int()
-		case orderExpiresMillis:
-			o.ExpiresMillis = f.int()
-		case orderTimeoutMillis:
-			o.TimeoutMillis = f.int()
-		case orderTask:
-			o.Task = string(f.bytes)
-		case orderRun:
-			o.Run = f.int()
-		case orderSpec:
-			o.Spec = int(f.int())
-		case orderCheckpoint:
-			o.Checkpoint = string(f.bytes)
-		case orderTicket:
-			o.Ticket = string(f.bytes)
-		case orderPercent:
-			o.Percent = int(f.int())
-		case orderLeaseEndMillis:
-			o.LeaseEndMillis = f.int()
-		case orderAcknowledged:
-			o.Acknowledged = f.int()
-		case orderWaitMillis:
-			o.WaitMillis = f.int()
-		case orderEndsSuffice:
-			o.EndsSuffice = f.value != 0
-		}
+		o.setCall(f)
+		o.setContent(f)
 		return nil
 	})
 }
 
+// setCall sets the fields that all orders have.
+func (o *Order) setCall(f field) {
+	switch f.number {
+	case orderID:
+		o.ID = f.value
+	case orderKind:
+		o.Kind = kind(f.int())
+	case orderWorker:
+		o.Worker = string(f.bytes)
+	case orderAddress:
+		o.Address = string(f.bytes)
+	case orderToken:
+		o.Token = f.int()
+	case orderExpiresMillis:
+		o.ExpiresMillis = f.int()
+	case orderTimeoutMillis:
+		o.TimeoutMillis = f.int()
+	}
+}
+
+// setContent sets the fields that depend on the kind of the order.
+func (o *Order) setContent(f field) {
+	switch f.number {
+	case orderTask:
+		o.Task = string(f.bytes)
+	case orderRun:
+		o.Run = f.int()
+	case orderSpec:
+		o.Spec = int(f.int())
+	case orderCheckpoint:
+		o.Checkpoint = string(f.bytes)
+	case orderTicket:
+		o.Ticket = string(f.bytes)
+	case orderPercent:
+		o.Percent = int(f.int())
+	case orderLeaseEndMillis:
+		o.LeaseEndMillis = f.int()
+	case orderAcknowledged:
+		o.Acknowledged = f.int()
+	case orderWaitMillis:
+		o.WaitMillis = f.int()
+	case orderEndsSuffice:
+		o.EndsSuffice = f.value != 0
+	}
+}
+
 // Encode returns the compact form of the results.
 func (r Results) Encode() []byte {
 	out := make([]byte, 0, (len(r.Results)+1)*approximateBytes)
@@ -348,7 +360,7 @@
 	}
 	f := field{number: number}
 	data = data[tagLength:]
-	n := 0
+	var n int
 	switch wireType {
 	case protowire.VarintType:
 		f.value, n = protowire.ConsumeVarint(data)
--- a/keel/relay/relay_test.go
+++ b/keel/relay/relay_test.go
@@ -158,7 +158,7 @@
 	to := worker.Target{ID: "w1", Address: "w1:80", DataCentre: "a"}
 	workers := b.client.Workers()
 	ended := make(chan error, 2)
-	submitted := false
+	var submitted bool
 	began := time.Now()
 	if kind == "start" {
 		order := worker.StartOrder{Task: work.TaskID{Job: "00000000000000a1"}, Run: 1, Spec: "spec"}
