Jobs of all data centres are placed in one order

A pass examines the first jobs of all data centres in one order, then a few of each data centre behind them, and the others by turns.

--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -34,9 +34,10 @@
 type backlog struct {
 	// changed holds the jobs whose entry may be out of date.
 	changed []*job
-	// waiting holds the jobs that have tasks to start, by home data centre. A job starts elsewhere only where its home has
-	// no room.
-	waiting map[string]*waitingJobs
+	// waiting holds the jobs that have tasks to start, in scheduling order, and byHome the same by home data centre, outside
+	// of which a job starts only if it has no room there.
+	waiting *btree.BTreeG[rank]
+	byHome  map[string]*btree.BTreeG[rank]
 	// deadlines holds the jobs that can still meet their objective, ordered by when they become late.
 	deadlines *btree.BTreeG[rank]
 	// total is the unfinished work of all jobs, onTime that of long-running ones and of those that can still meet their
@@ -44,12 +45,6 @@
 	total, onTime openWork
 	// tasks is the number of tasks that need a run.
 	tasks int
-}
-
-// waitingJobs holds the waiting jobs of one home data centre.
-type waitingJobs struct {
-	// order holds the jobs in scheduling order.
-	order *btree.BTreeG[rank]
 	// cursor is where the next pass continues to examine the jobs behind those that each pass examines first.
 	cursor rank
 }
@@ -78,7 +73,10 @@
 }
 
 func newBacklog() backlog {
-	return backlog{waiting: make(map[string]*waitingJobs), deadlines: btree.NewG(backlogDegree, rank.before)}
+	return backlog{
+		waiting: btree.NewG(backlogDegree, rank.before), byHome: make(map[string]*btree.BTreeG[rank]),
+		deadlines: btree.NewG(backlogDegree, rank.before),
+	}
 }
 
 // touch records that the job's place in its pool's backlog, or its unfinished work, may have changed.
@@ -139,12 +137,11 @@
 	if class == classLate {
 		e.waiting.key = j.arrived
 	}
-	home := b.waiting[j.Home]
-	if home == nil {
-		home = &waitingJobs{order: btree.NewG(backlogDegree, rank.before)}
-		b.waiting[j.Home] = home
+	b.waiting.ReplaceOrInsert(e.waiting)
+	if b.byHome[j.Home] == nil {
+		b.byHome[j.Home] = btree.NewG(backlogDegree, rank.before)
 	}
-	home.order.ReplaceOrInsert(e.waiting)
+	b.byHome[j.Home].ReplaceOrInsert(e.waiting)
 }
 
 // remove removes a job.
@@ -159,23 +156,24 @@
 		b.deadlines.Delete(e.deadline)
 	}
 	if e.waiting.job != nil {
-		home := b.waiting[j.Home]
-		home.order.Delete(e.waiting)
-		if home.order.Len() == 0 {
-			delete(b.waiting, j.Home)
+		b.waiting.Delete(e.waiting)
+		home := b.byHome[j.Home]
+		home.Delete(e.waiting)
+		if home.Len() == 0 {
+			delete(b.byHome, j.Home)
 		}
 	}
 	*e = backlogEntry{}
 }
 
 // homes returns the data centres with waiting jobs, ordered by name.
-func (b *backlog) homes() []string { return slices.Sorted(maps.Keys(b.waiting)) }
+func (b *backlog) homes() []string { return slices.Sorted(maps.Keys(b.byHome)) }
 
-// walk calls visit for the jobs from one place on and before another, until it returns false, and returns the last one's
-// place and whether no job is left. The backlog isn't updated meanwhile.
-func (w *waitingJobs) walk(from, to rank, visit func(*job) bool) (last rank, complete bool) {
+// walk calls visit for the jobs of an order from one place on and before another, until it returns false, and returns the
+// last one's place and whether no job is left. The backlog isn't updated meanwhile.
+func walk(order *btree.BTreeG[rank], from, to rank, visit func(*job) bool) (last rank, complete bool) {
 	last, complete = from, true
-	w.order.AscendRange(from, to, func(r rank) bool {
+	order.AscendRange(from, to, func(r rank) bool {
 		last = r
 		complete = visit(r.job)
 		return complete
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -47,7 +47,7 @@
 		return
 	}
 	p.update(now, s.fleet.mayRun)
-	if len(p.backlog.waiting) == 0 {
+	if p.backlog.waiting.Len() == 0 {
 		p.missing = missing{}
 		return
 	}
@@ -59,41 +59,55 @@
 	p.missing = pl.missing
 }
 
-// maxUnplacedJobs is the number of jobs without a task that can start after which a pass examines no more jobs of a home
-// data centre and service class. The first jobs of each are examined in each pass, and as many of a data centre by turns.
-const maxUnplacedJobs = 16
+const (
+	// maxUnplacedJobs is the number of jobs without a task that can start after which a pass examines no more jobs of a
+	// service class.
+	maxUnplacedJobs = 64
+	// maxUnplacedAtHome is the same for each home data centre behind these jobs: one with few of the jobs may have room.
+	maxUnplacedAtHome = 8
+)
 
-// placeWaiting places the waiting tasks of the backlog and reports whether it has examined all of its jobs. Each pass begins
-// with another data centre.
+// placeWaiting places the waiting tasks of the backlog and reports whether it has examined all of its jobs. The first jobs
+// of each class are examined in each pass, and maxUnplacedJobs of all jobs by turns.
 func (pl *planner) placeWaiting(b *backlog) bool {
-	names := b.homes()
 	all := true
 	for class := classLongRunning; class <= classLate; class++ {
-		for i := range names {
-			home := b.waiting[names[(i+pl.s.passes)%len(names)]]
-			_, complete := home.walk(rank{class: class}, rank{class: class + 1}, pl.visitor())
-			all = all && complete
-			if !pl.s.starts.open() {
-				return false
-			}
+		end := rank{class: class + 1}
+		last, complete := walk(b.waiting, rank{class: class}, end, pl.visitor(maxUnplacedJobs))
+		if complete {
+			continue
+		}
+		all = false
+		pl.placeAtHomes(b, last, end)
+		if !pl.s.starts.open() {
+			return false
 		}
 	}
 	if all {
 		return true
 	}
-	for _, name := range names {
-		home := b.waiting[name]
-		last, complete := home.walk(home.cursor, rank{class: classLate + 1}, pl.visitor())
-		if complete {
-			last = rank{}
-		}
-		home.cursor = last
+	last, complete := walk(b.waiting, b.cursor, rank{class: classLate + 1}, pl.visitor(maxUnplacedJobs))
+	if complete {
+		last = rank{}
 	}
+	b.cursor = last
 	return false
 }
 
-// visitor returns a function that places the tasks of a job and reports whether the pass goes on to the next one.
-func (pl *planner) visitor() func(*job) bool {
+// placeAtHomes places waiting tasks of each data centre's jobs in the range. Each pass begins with another data centre.
+func (pl *planner) placeAtHomes(b *backlog, from, to rank) {
+	names := b.homes()
+	for i := range names {
+		if !pl.s.starts.open() {
+			return
+		}
+		walk(b.byHome[names[(i+pl.s.passes)%len(names)]], from, to, pl.visitor(maxUnplacedAtHome))
+	}
+}
+
+// visitor returns a function that places the tasks of a job and reports whether the pass goes on to the next one: it ends
+// after a number of jobs without a task that can start.
+func (pl *planner) visitor(limit int) func(*job) bool {
 	unplaced := 0
 	return func(j *job) bool {
 		waiting := j.waiting
@@ -101,7 +115,7 @@
 		if !held && j.waiting == waiting {
 			unplaced++
 		}
-		return unplaced < maxUnplacedJobs && pl.s.starts.open()
+		return unplaced < limit && pl.s.starts.open()
 	}
 }
 
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -13,8 +13,8 @@
 	waitReportInterval = time.Second
 	// minReportedWait is how long a task must have waited to be reported; shorter waits are part of each start.
 	minReportedWait = 2 * time.Second
-	// maxReportedJobs is the maximum number of waiting jobs of a pool that a report examines: the first of its first data
-	// centres in scheduling order.
+	// maxReportedJobs is the maximum number of waiting jobs of a pool that a report examines: the first in scheduling
+	// order.
 	maxReportedJobs = 256
 	// maxExplainedSteps is the maximum number of steps among these for which a report compares tasks with workers: those
 	// whose tasks have waited longest.
@@ -133,18 +133,16 @@
 	p.update(c.now, c.s.fleet.mayRun)
 	var rest *task
 	jobs, tasks := 0, 0
-	for _, home := range p.backlog.homes() {
-		p.backlog.waiting[home].walk(rank{}, rank{class: classLate + 1}, func(j *job) bool {
-			if jobs == maxReportedJobs {
-				rest = j.waitingTask()
-				return false
-			}
-			jobs++
-			tasks += j.waiting
-			c.addJob(j)
-			return true
-		})
-	}
+	walk(p.backlog.waiting, rank{}, rank{class: classLate + 1}, func(j *job) bool {
+		if jobs == maxReportedJobs {
+			rest = j.waitingTask()
+			return false
+		}
+		jobs++
+		tasks += j.waiting
+		c.addJob(j)
+		return true
+	})
 	c.addCount(rest, wait{cause: waitUnexplained, since: c.now}, p.backlog.tasks-tasks)
 	if len(c.unplaced) > 0 {
 		c.addUnplaced(p, c.unplaced)
