Compare no task IDs and build no maps for each renewal

Whether a run is still there was looked up by its task's ID at each reply, and each response to a renewal built a map of the listed runs. A run now records that it was removed and in which list it last was. The ledger's rows reuse the memory of the record that they encode.

--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -47,6 +47,9 @@
 type ledgerWriter struct {
 	s          *Scheduler
 	partitions []string
+	// encodedProgress and doneTasks are reused for each row.
+	encodedProgress work.Progress
+	doneTasks       []work.BitSet
 	// current is the index of the partition in use; failures counts consecutive failed writes.
 	current  int
 	failures int
@@ -208,8 +211,8 @@
 		b.extraRows = append(b.extraRows, l.extraRows[0])
 		l.extraRows = l.extraRows[1:]
 	}
-	l.urgent = b.addJobs(l.urgent, l.maxRows)
-	l.normal = b.addJobs(l.normal, l.maxRows)
+	l.urgent = b.addJobs(l.urgent, l.maxRows, l.encodeRecord)
+	l.normal = b.addJobs(l.normal, l.maxRows, l.encodeRecord)
 	return b
 }
 
@@ -226,11 +229,11 @@
 }
 
 // addJobs adds jobs until the transaction is full and returns the remaining ones.
-func (b *ledgerBatch) addJobs(jobs []*job, maxRows int) []*job {
+func (b *ledgerBatch) addJobs(jobs []*job, maxRows int, encode func(*job) []byte) []*job {
 	for len(jobs) > 0 {
 		j := jobs[0]
 		if j.dirty {
-			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: encodeRecord(j)}, maxRows) {
+			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: encode(j)}, maxRows) {
 				break
 			}
 			j.dirty = false
@@ -244,24 +247,31 @@
 }
 
 // encodeRecord returns the encoded record of the job that the ledger stores.
-func encodeRecord(j *job) []byte {
+func (l *ledgerWriter) encodeRecord(j *job) []byte {
 	if j.outcome != nil {
 		return ledger.Encode(ledger.JobRecord{Outcome: j.outcome})
 	}
-	p := &work.Progress{Started: j.started, Failures: j.failures, Checkpoints: j.checkpoints}
-	if len(j.remoteDataCentres) > 0 {
-		p.RemoteDataCentres = slices.Sorted(maps.Keys(j.remoteDataCentres))
-	}
+	done := l.encodedProgress.Done
+	clear(done)
+	l.doneTasks = l.doneTasks[:0]
 	for k, o := range j.occurrences {
 		if o == nil || !o.anyDone() {
 			continue
 		}
-		if p.Done == nil {
-			p.Done = make(map[int][]work.BitSet)
+		if done == nil {
+			done = make(map[int][]work.BitSet)
 		}
-		p.Done[k] = o.doneTasks()
+		first := len(l.doneTasks)
+		for _, step := range o.steps {
+			l.doneTasks = append(l.doneTasks, step.doneTasks)
+		}
+		done[k] = l.doneTasks[first:]
+	}
+	l.encodedProgress = work.Progress{Started: j.started, Done: done, Failures: j.failures, Checkpoints: j.checkpoints}
+	if len(j.remoteDataCentres) > 0 {
+		l.encodedProgress.RemoteDataCentres = slices.Sorted(maps.Keys(j.remoteDataCentres))
 	}
-	return ledger.EncodeProgress(p)
+	return ledger.EncodeProgress(&l.encodedProgress)
 }
 
 // anyDone reports whether some task is done.
@@ -269,15 +279,6 @@
 	return slices.ContainsFunc(o.steps, func(step *stepState) bool { return step.done > 0 })
 }
 
-// doneTasks returns the sets of the tasks that are done by step.
-func (o *occurrence) doneTasks() []work.BitSet {
-	done := make([]work.BitSet, len(o.steps))
-	for i, step := range o.steps {
-		done[i] = step.doneTasks
-	}
-	return done
-}
-
 func (l *ledgerWriter) handleCommit(b *ledgerBatch, version uint64, err error) {
 	l.writing = false
 	l.progress.batch = nil
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -165,9 +166,8 @@
 // applyStatus applies the worker's list of runs. The list may lack runs that were confirmed after sent, the time of the
 // request.
 func (s *Scheduler) applyStatus(w *workerState, sent time.Duration, status worker.Status) {
-	listed := make(map[work.TaskID]int64, len(status.Running))
+	w.listings++
 	for _, live := range status.Running {
-		listed[live.Task] = live.Run
 		s.applyRunning(w, live)
 	}
 	for _, end := range status.Ended {
@@ -177,23 +177,30 @@
 		}
 	}
 	if !status.Partial {
-		s.removeUnlisted(w, sent, listed)
+		s.removeUnlisted(w, sent, status.Running)
 	}
 	s.acknowledgeEnds(w)
 	s.schedulePlan()
 }
 
-// removeUnlisted removes the runs that were confirmed before sent and that the worker doesn't list.
-func (s *Scheduler) removeUnlisted(w *workerState, sent time.Duration, listed map[work.TaskID]int64) {
+// removeUnlisted removes the runs that were confirmed before sent and that the worker's latest list doesn't contain.
+func (s *Scheduler) removeUnlisted(w *workerState, sent time.Duration, listed []worker.Run) {
 	w.listedAt = s.Now()
-	for _, r := range sortedRuns(w.runs) {
-		if r.confirmedAt < sent && r.confirmedAt != 0 && listed[r.task.id()] != r.number {
-			s.Log.Write(event.TaskLost, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": w.ID, "reason": "the worker lists neither the run nor its end"})
-			s.removeRun(r, "the worker lists neither the run nor its end")
+	var unlisted map[work.TaskID]*run
+	for id, r := range w.runs {
+		if r.confirmedAt < sent && r.confirmedAt != 0 && r.listing != w.listings {
+			if unlisted == nil {
+				unlisted = make(map[work.TaskID]*run)
+			}
+			unlisted[id] = r
 		}
 	}
+	for _, r := range sortedRuns(unlisted) {
+		s.Log.Write(event.TaskLost, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": w.ID, "reason": "the worker lists neither the run nor its end"})
+		s.removeRun(r, "the worker lists neither the run nor its end")
+	}
 	for id, number := range w.orphans {
-		if listed[id] != number {
+		if !slices.ContainsFunc(listed, func(live worker.Run) bool { return live.Task == id && live.Run == number }) {
 			delete(w.orphans, id)
 		}
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -25,6 +25,8 @@
 	worker *workerState
 	number int64
 	size   work.Size
+	// removed is set once the run is certain to be over.
+	removed bool
 	// ordered is when the start order was sent.
 	ordered time.Duration
 	// confirmedAt is when the worker was first known to have the run, 0 before that.
@@ -45,6 +47,8 @@
 	percent      float64
 	progressedAt time.Duration
 	listedAt     time.Duration
+	// listing is the number of the worker's list that last contained the run.
+	listing      int64
 	load         float64
 	speedPercent int
 	// voluntary is set if the scheduler stopped the run although it was healthy.
@@ -97,9 +101,10 @@
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
 func (s *Scheduler) removeRun(r *run, _ string) {
 	w, t := r.worker, r.task
-	if w.runs[t.id()] != r {
+	if r.removed {
 		return
 	}
+	r.removed = true
 	now := s.Now()
 	delete(w.runs, t.id())
 	w.used = w.used.Minus(r.size)
@@ -141,7 +146,7 @@
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
-		if r.worker.runs[r.task.id()] != r {
+		if r.removed {
 			return
 		}
 		s.handleStartReply(r, reply, err)
@@ -266,7 +271,7 @@
 	if live.Percent > r.percent {
 		r.percent, r.progressedAt = live.Percent, now
 	}
-	r.listedAt = now
+	r.listedAt, r.listing = now, r.worker.listings
 	r.load = live.Load
 	if live.Checkpoint != "" {
 		r.task.checkpoint = live.Checkpoint
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -35,17 +35,17 @@
 }
 
 func (s *Scheduler) sendStop(r *run) {
-	if r.stopSent || r.worker.runs[r.task.id()] != r {
+	if r.stopSent || r.removed {
 		return
 	}
 	r.stopSent = true
 	s.stops.do(func() {
-		if r.worker.runs[r.task.id()] != r {
+		if r.removed {
 			return
 		}
 		order := worker.StopOrder{Task: r.task.id(), Run: r.number, Token: s.Epoch}
 		s.callStop(r.worker.target(), order, func(reply worker.Reply, err error) {
-			if r.worker.runs[r.task.id()] == r {
+			if !r.removed {
 				s.handleStopReply(r, reply, err)
 			}
 		})
@@ -85,7 +85,7 @@
 // until then, because the earlier order may have been carried out.
 func (s *Scheduler) retryStop(r *run) {
 	s.after(stopRetry, func() {
-		if r.worker.runs[r.task.id()] != r {
+		if r.removed {
 			return
 		}
 		if r.worker.unresponsiveSince != 0 {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -91,6 +91,8 @@
 	renewedAt      time.Duration
 	// listedAt is when the worker last listed all of its runs.
 	listedAt time.Duration
+	// listings counts the worker's responses that list runs.
+	listings int64
 	// acked is the number of the last end that the worker may discard; ends holds the later ones in order.
 	acked   int64
 	ends    []pendingEnd
