Allocate less for each task

The tasks of a step are now allocated together, with room for a run of each, the checks are part of the callbacks, and ends keep their memory.

--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -271,22 +271,32 @@
 	if j.occurrences[k] != nil {
 		return j.occurrences[k]
 	}
-	o := &occurrence{job: j, index: k}
+	o := &occurrence{job: j, index: k, steps: make([]*stepState, 0, len(j.Steps))}
 	if j.estimates == nil {
 		s.estimate(j)
 	}
 	paths := criticalPaths(j.Steps, j.estimates)
 	for i := range j.Steps {
 		step := &stepState{occurrence: o, index: i, spec: &j.Steps[i], estimate: j.estimates[i], criticalPath: paths[i]}
-		for n := range j.Steps[i].Count {
-			step.tasks = append(step.tasks, &task{step: step, index: n, nextRun: s.runBase + 1})
-		}
+		step.addTasks(s.runBase + 1)
 		o.steps = append(o.steps, step)
 	}
 	j.occurrences[k] = o
 	return o
 }
 
+// addTasks adds the step's tasks, whose first runs get the number. Their memory is allocated together, with room for one
+// run of each.
+func (st *stepState) addTasks(firstRun int64) {
+	count := st.spec.Count
+	tasks, runs := make([]task, count), make([]*run, count)
+	st.tasks = make([]*task, count)
+	for n := range tasks {
+		tasks[n] = task{step: st, index: n, nextRun: firstRun, runs: runs[n : n : n+1]}
+		st.tasks[n] = &tasks[n]
+	}
+}
+
 // releaseOccurrences marks steps ready in each occurrence whose scheduled time has passed.
 func (s *Scheduler) releaseOccurrences(j *job) {
 	for j.released < j.OccurrenceCount() && s.Wall() >= j.Due(j.released) {
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -207,6 +207,9 @@
 func (l *ledgerWriter) nextBatch() *ledgerBatch {
 	partition := l.partitions[l.current]
 	b := &ledgerBatch{partition: partition, txn: table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, l.s.guards[partition])}}}
+	size := min(len(l.urgent)+len(l.normal), l.maxRows)
+	b.jobs, b.changes, b.since = make([]*job, 0, size), make([]uint64, 0, size), make([]time.Duration, 0, size)
+	b.txn.Writes = make([]table.Write, 0, min(size+len(l.extraRows), l.maxRows))
 	for len(l.extraRows) > 0 && b.add(l.extraRows[0].write, l.maxRows) {
 		b.extraRows = append(b.extraRows, l.extraRows[0])
 		l.extraRows = l.extraRows[1:]
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -46,6 +46,9 @@
 		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
 	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
+		if s.epochEnded() {
+			return
+		}
 		w.renewing = false
 		if w.removed {
 			return
@@ -55,15 +58,11 @@
 	})
 }
 
-// sendRenewal sends the renewal and calls done on the control loop when it has ended.
+// sendRenewal sends the renewal and calls done on the control loop when it has ended, which may be after the end of the
+// epoch.
 func (s *Scheduler) sendRenewal(target worker.Target, order worker.RenewOrder, done func(worker.Status, error)) {
 	timeout := order.Wait + renewTimeoutMargin
-	submitted := s.Workers.SubmitRenew != nil && s.Workers.SubmitRenew(target, order, timeout, func(status worker.Status, err error) {
-		if !s.epochEnded() {
-			done(status, err)
-		}
-	})
-	if !submitted {
+	if s.Workers.SubmitRenew == nil || !s.Workers.SubmitRenew(target, order, timeout, done) {
 		call(s, timeout, func(ctx context.Context) (worker.Status, error) { return s.Workers.Renew(ctx, target, order) }, done)
 	}
 }
@@ -216,11 +215,12 @@
 }
 
 func (s *Scheduler) acknowledgeEnds(w *workerState) {
-	pending := len(w.ends)
-	for len(w.ends) > 0 && (w.ends[0].job == nil || w.ends[0].job.storedChange >= w.ends[0].change) {
-		w.acked = w.ends[0].number
-		w.ends = w.ends[1:]
+	pending, stored := len(w.ends), 0
+	for stored < pending && (w.ends[stored].job == nil || w.ends[stored].job.storedChange >= w.ends[stored].change) {
+		w.acked = w.ends[stored].number
+		stored++
 	}
+	w.ends = slices.Delete(w.ends, 0, stored)
 	if pending > 0 && len(w.ends) == 0 && !w.renewing {
 		s.renew(w)
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -142,6 +142,9 @@
 func (s *Scheduler) sendStart(r *run, order worker.StartOrder) {
 	s.starts.add()
 	sendOrder(s, s.Workers.SubmitStart, s.Workers.Start, r.worker.target(), order, s.starts.timeout(), func(reply worker.Reply, took time.Duration, err error) {
+		if s.epochEnded() {
+			return
+		}
 		s.starts.remove(took, err)
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -56,6 +56,9 @@
 func (s *Scheduler) callStop(target worker.Target, order worker.StopOrder, done func(worker.Reply, error)) {
 	s.stops.add()
 	sendOrder(s, s.Workers.SubmitStop, s.Workers.Stop, target, order, s.stops.timeout(), func(reply worker.Reply, took time.Duration, err error) {
+		if s.epochEnded() {
+			return
+		}
 		s.stops.remove(took, err)
 		done(reply, err)
 		s.stops.sendWaiting()
--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -116,15 +116,15 @@
 	took time.Duration
 }
 
-// sendOrder sends an order to a worker and calls done on the control loop when it has ended, with the time that it took. It
-// prefers submit, which may be nil, to send, because that takes no goroutine.
+// sendOrder sends an order to a worker and calls done on the control loop when it has ended, which may be after the end of
+// the epoch, with the time that it took. It prefers submit, which may be nil, to send, because that takes no goroutine.
 func sendOrder[Order any](
 	s *Scheduler,
 	submit func(worker.Target, Order, time.Duration, func(worker.Reply, time.Duration, error)) bool,
 	send func(context.Context, worker.Target, Order) (worker.Reply, error),
 	target worker.Target, order Order, timeout time.Duration, done func(worker.Reply, time.Duration, error),
 ) {
-	if submit != nil && s.LeaseValid() && submit(target, order, timeout, unlessEnded(s, done)) {
+	if submit != nil && s.LeaseValid() && submit(target, order, timeout, done) {
 		return
 	}
 	call(s, timeout, func(ctx context.Context) (timed, error) {
@@ -136,12 +136,3 @@
 		return timed{reply, s.Now() - sent}, err
 	}, func(reply timed, err error) { done(reply.Reply, reply.took, err) })
 }
-
-// unlessEnded returns done without effect after the end of the epoch.
-func unlessEnded(s *Scheduler, done func(worker.Reply, time.Duration, error)) func(worker.Reply, time.Duration, error) {
-	return func(reply worker.Reply, took time.Duration, err error) {
-		if !s.epochEnded() {
-			done(reply, took, err)
-		}
-	}
-}
