--- a/keel/schedule/task_cost_bench_test.go
+++ b/keel/schedule/task_cost_bench_test.go
@@ -32,8 +32,6 @@
 	// taskCostWorkers is the number of workers in taskCostDataCentres data centres.
 	taskCostWorkers     = 700
 	taskCostDataCentres = 5
-	// taskCostRate is the number of tasks a second that arrive, with 12.8 tasks a job.
-	taskCostRate = 4000
 	// taskCostCommit is the duration of a transaction, taskCostPath that of an order to a worker and its reply.
 	taskCostCommit = 20 * time.Millisecond
 	taskCostPath   = 4 * time.Millisecond
@@ -64,6 +62,16 @@
 	ended, renewals int
 	commits, rows   atomic.Int64
 	version         atomic.Uint64
+	load            taskCostLoad
+}
+
+// taskCostLoad is what arrives at the fleet.
+type taskCostLoad struct {
+	name string
+	// rate is the number of tasks a second, with 12.8 tasks a job.
+	rate int
+	// milliCores is the capacity of a worker.
+	milliCores int64
 }
 
 // taskCostTemplate is an encoded job without its ID.
@@ -113,7 +121,7 @@
 	if !f.arriving {
 		return
 	}
-	f.owed += taskCostRate / 1000.0
+	f.owed += float64(f.load.rate) / 1000
 	for f.owed > 0 {
 		f.jobs++
 		template := f.templates[f.jobs%len(f.templates)]
@@ -213,9 +221,9 @@
 }
 
 // newTaskCostFleet returns a fleet whose workers are usable.
-func newTaskCostFleet(b *testing.B) *taskCostFleet {
+func newTaskCostFleet(b *testing.B, load taskCostLoad) *taskCostFleet {
 	b.Helper()
-	f := &taskCostFleet{random: rand.New(rand.NewPCG(5, 5)), began: time.Now(), workers: make(map[string]*taskCostWorker)}
+	f := &taskCostFleet{random: rand.New(rand.NewPCG(5, 5)), began: time.Now(), workers: make(map[string]*taskCostWorker), load: load}
 	f.version.Store(backlogVersion)
 	f.loop = control.New(4000)
 	f.addTemplates()
@@ -262,7 +270,7 @@
 	for i := range taskCostWorkers {
 		id, dataCentre := fmt.Sprintf("p%d", i), string(rune('a'+i%taskCostDataCentres))
 		instance := provider.Instance{
-			ID: id, Pool: "p", State: provider.Up, DataCentre: dataCentre, Worker: "w-" + id, Capacity: work.Size{MilliCores: 16000, MemoryMB: 32768},
+			ID: id, Pool: "p", State: provider.Up, DataCentre: dataCentre, Worker: "w-" + id, Capacity: work.Size{MilliCores: f.load.milliCores, MemoryMB: 32768},
 		}
 		f.workers[instance.Worker] = &taskCostWorker{runs: make(map[work.TaskID]int64)}
 		value, _ := json.Marshal(worker.Registration{
@@ -335,7 +343,13 @@
 // BenchmarkTaskCost measures the leader's processor time and memory per task, from a job's submission to its stored
 // outcome, without the exchange with the workers and the store: with -benchtime 50000x, for instance, over 50,000 tasks.
 func BenchmarkTaskCost(b *testing.B) {
-	f := newTaskCostFleet(b)
+	for _, load := range []taskCostLoad{{"room", 4000, 16000}, {"backlog", 4000, 7000}} {
+		b.Run(load.name, func(b *testing.B) { benchmarkTaskCost(b, load) })
+	}
+}
+
+func benchmarkTaskCost(b *testing.B, load taskCostLoad) {
+	f := newTaskCostFleet(b, load)
 	for usable := 0; usable < taskCostWorkers; time.Sleep(10 * time.Millisecond) {
 		f.onLoop(func() {
 			usable = 0
