Pending jobs are counted as they change

Cause: a query of a queue's pending jobs scanned all jobs on the control loop, ended ones too.

Change: the count is updated when a job is added, started or ended.

--- a/keel/schedule/api.go
+++ b/keel/schedule/api.go
@@ -59,12 +59,18 @@
 func (s *Scheduler) MaxWorkers() int { return max(len(s.workers), len(s.fleet.instances)) }
 
 // PendingJobs returns the number of the queue's open jobs of which no task has started.
-func (s *Scheduler) PendingJobs(name string) int {
-	n := 0
-	for _, j := range s.jobs {
-		if j.Queue == name && j.open() && !j.started {
-			n++
-		}
+func (s *Scheduler) PendingJobs(name string) int { return s.pending[name] }
+
+// updatePending counts the job as pending, or no longer, after it was added, started or ended.
+func (s *Scheduler) updatePending(j *job) {
+	pending := j.open() && !j.started
+	if pending == j.pending {
+		return
+	}
+	j.pending = pending
+	if pending {
+		s.pending[j.Queue]++
+	} else {
+		s.pending[j.Queue]--
 	}
-	return n
 }
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -28,6 +28,8 @@
 	released int
 	done     int
 	started  bool
+	// pending is set while the job is counted as pending.
+	pending bool
 	// outcome is set once the job's result is decided, in change number outcomeChange; stored is set once it is in the
 	// ledger.
 	outcome       *work.Outcome
@@ -188,6 +190,7 @@
 		s.restore(j, record.Progress)
 	}
 	s.countArrival(j)
+	s.updatePending(j)
 	if s.pendingCancels[j.ID] {
 		delete(s.pendingCancels, j.ID)
 		s.cancelStored(j.ID)
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -45,6 +45,7 @@
 		State: state, Queue: j.Queue, Digest: j.Digest, Ended: s.Wall().Milliseconds(), Reason: reason,
 	}
 	j.waiting = 0
+	s.updatePending(j)
 	s.removeFromPool(j)
 	s.markUrgent(j)
 	s.stopAll(j, "the job is "+string(state))
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -130,6 +130,7 @@
 	j := t.job()
 	if !j.started {
 		j.started = true
+		s.updatePending(j)
 		s.markDirty(j)
 	}
 	order := worker.StartOrder{
@@ -267,6 +268,7 @@
 	now := s.Now()
 	r.confirmedAt, r.progressedAt, r.adopted = now, now, true
 	t.job().started = true
+	s.updatePending(t.job())
 	s.updateProgress(r, live, now)
 }
 
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -58,6 +58,8 @@
 	jobs           map[string]*job
 	// timed holds the open jobs with scheduled times that are still to come.
 	timed map[*job]bool
+	// pending counts the open jobs of which no task has started, by queue.
+	pending map[string]int
 	// unrouted holds the open jobs whose queue the configuration doesn't contain.
 	unrouted map[*job]bool
 	// leaseInvalid is set if the last lease check failed.
@@ -128,6 +130,7 @@
 	s.jobs = make(map[string]*job)
 	s.timed = make(map[*job]bool)
 	s.unrouted = make(map[*job]bool)
+	s.pending = make(map[string]int)
 	s.pendingCancels = make(map[string]bool)
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
