Store changes in several transactions while the ledger has a backlog

What callers saw: at the peaks of the large site jobs were shown as completed up to a second late, and ends were acknowledged as late.

Cause: the ledger had one transaction of 96 rows in flight, and sends the next one in a later turn of the control loop, which takes up to 130 ms while tasks wait.

Now up to four transactions are in flight in the partition in use, the further ones only if they are full. The store may apply them in any order, so a row is in one of them at a time. A guard is raised only when none is in flight, and while the rows of a transaction are limited to find a rejected one, there is one, as before.

Tests: TestLedgerOnBusyLoop has 864 of 2,000 changes stored after ten turns of 100 ms with one transaction in flight; all of them now. TestLedgerHasRowInOneTransaction finds 708 rows in two transactions at a time without the check of the rows in flight.

--- a/keel/schedule/backlog_bench_test.go
+++ b/keel/schedule/backlog_bench_test.go
@@ -221,7 +221,7 @@
 func (f *backlogFleet) settle(tb testing.TB, onLoop func(func())) {
 	tb.Helper()
 	f.waitUntil(tb, onLoop, func() bool {
-		if f.s.starts.inFlight > 0 || len(f.s.ledger.urgent)+len(f.s.ledger.normal) > 0 || f.s.ledger.writing {
+		if f.s.starts.inFlight > 0 || len(f.s.ledger.urgent)+len(f.s.ledger.normal) > 0 || len(f.s.ledger.inFlight) > 0 {
 			return false
 		}
 		f.s.plan()
--- a/keel/schedule/fleet_restart_test.go
+++ b/keel/schedule/fleet_restart_test.go
@@ -125,11 +125,11 @@
 		r.jobs[pool]++
 	}
 	r.submitted.Go(func() {
-		version, err := r.submissions.Submit(context.Background(), job)
+		stored, err := r.submissions.Submit(context.Background(), job)
 		assert.Check(r.b.t, err)
 		r.b.checker.Accepted(job.ID)
 		if r.b.s != nil {
-			r.b.onLoop(func() { r.b.s.AddJob(job, version) })
+			r.b.onLoop(func() { r.b.s.AddJob(stored.Job, stored.Version) })
 		}
 	})
 	return job
--- a/keel/schedule/ledgerprogress.go
+++ b/keel/schedule/ledgerprogress.go
@@ -15,8 +15,6 @@
 	// stored counts the stored jobs since the last log line, and longest is the longest wait among them.
 	stored  int
 	longest time.Duration
-	// batch is the transaction in flight, nil if there is none.
-	batch *ledgerBatch
 }
 
 // logProgress logs the progress of the ledger periodically while there are changes.
@@ -38,9 +36,9 @@
 // waiting returns the number of jobs whose changes aren't stored, and the longest wait of one of them.
 func (l *ledgerWriter) waiting(now time.Duration) (int, time.Duration) {
 	count, oldest := 0, time.Duration(0)
-	if l.progress.batch != nil {
-		count = len(l.progress.batch.jobs)
-		for _, since := range l.progress.batch.since {
+	for _, b := range l.inFlight {
+		count += len(b.jobs)
+		for _, since := range b.since {
 			oldest = max(oldest, now-since)
 		}
 	}
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -40,10 +40,13 @@
 	staleInterval = 100 * time.Millisecond
 	// maxStubRows is the maximum number of stubs written in one round for one partition.
 	maxStubRows = 90
+	// maxCommitsInFlight is the maximum number of transactions in flight. There is more than one only while the others are
+	// full.
+	maxCommitsInFlight = 4
 )
 
-// ledgerWriter writes job changes to the ledger, one transaction at a time. It stays with a partition until a write
-// there fails.
+// ledgerWriter writes job changes to the ledger. It stays with a partition until a write there fails. A row is in one
+// transaction at a time, since the store may apply transactions in flight in any order.
 type ledgerWriter struct {
 	s          *Scheduler
 	partitions []string
@@ -60,8 +63,13 @@
 	extraRows []extraRow
 	// maxRows is the number of rows of the next transaction. It is lowered while the store rejects transactions as
 	// invalid, to find the row that causes that.
-	maxRows        int
-	writing        bool
+	maxRows int
+	// inFlight holds the transactions in flight, and rowsInFlight the keys of their rows, without a partition.
+	inFlight     []*ledgerBatch
+	rowsInFlight map[table.Key]bool
+	// raisingGuard is set while the guard of the partition in use is being raised, which happens without transactions in
+	// flight.
+	raisingGuard   bool
 	flushScheduled bool
 	retryAt        time.Duration
 	pendingStubs   []*job
@@ -86,7 +94,7 @@
 }
 
 func (l *ledgerWriter) init(s *Scheduler) {
-	l.maxRows, l.fencing = maxBatchRows, make(map[string]bool)
+	l.maxRows, l.fencing, l.rowsInFlight = maxBatchRows, make(map[string]bool), make(map[table.Key]bool)
 	l.s, l.partitions, l.stale, l.inDoubt = s, ledger.LeaderPartitions(), make(map[string][]table.Condition), make(map[string]bool)
 }
 
@@ -126,7 +134,7 @@
 }
 
 func (l *ledgerWriter) scheduleFlush() {
-	if l.flushScheduled || l.writing {
+	if l.flushScheduled || l.raisingGuard || len(l.inFlight) > 0 {
 		return
 	}
 	l.flushScheduled = true
@@ -136,38 +144,59 @@
 	})
 }
 
-// flush writes pending changes unless a write is in progress.
+// pendingRows returns the number of rows that wait to be written. It counts rows in flight that have changed again, and
+// jobs that are queued twice.
+func (l *ledgerWriter) pendingRows() int { return len(l.urgent) + len(l.normal) + len(l.extraRows) }
+
+// flush writes pending changes: one transaction, and further ones that are full.
 func (l *ledgerWriter) flush() {
-	now := l.s.Now()
-	if l.writing || len(l.urgent)+len(l.normal)+len(l.extraRows) == 0 {
+	if l.raisingGuard || l.pendingRows() == 0 {
 		return
 	}
-	if now < l.retryAt || !l.s.LeaseValid() {
+	if l.s.Now() < l.retryAt || !l.s.LeaseValid() {
 		l.scheduleFlush()
 		return
 	}
-	l.writing = true
-	l.progress.batch = nil
 	if l.inDoubt[l.partitions[l.current]] {
-		l.raiseGuard(l.partitions[l.current])
+		if len(l.inFlight) == 0 {
+			l.raiseGuard(l.partitions[l.current])
+		}
 		return
 	}
-	b := l.nextBatch()
-	l.progress.batch = b
+	for len(l.inFlight) == 0 || l.mayAddCommit() {
+		b := l.nextBatch()
+		if len(b.txn.Writes) == 0 {
+			return
+		}
+		l.send(b)
+	}
+}
+
+// mayAddCommit reports whether another transaction may be sent beside those in flight. While the rows of a transaction are
+// limited to find one that the store rejects, the result of each is awaited.
+func (l *ledgerWriter) mayAddCommit() bool {
+	return len(l.inFlight) < maxCommitsInFlight && l.maxRows == maxBatchRows && l.pendingRows() >= maxBatchRows
+}
+
+// send starts a transaction.
+func (l *ledgerWriter) send(b *ledgerBatch) {
+	sent := l.s.Now()
+	l.inFlight = append(l.inFlight, b)
 	call(l.s, l.timeout(), func(ctx context.Context) (table.Result, error) { return l.s.Store.Commit(ctx, b.txn) },
 		func(result table.Result, err error) {
-			l.latency = l.s.Now() - now
-			l.s.storeClock.observe(result.Now, now)
+			l.latency = l.s.Now() - sent
+			l.s.storeClock.observe(result.Now, sent)
 			l.handleCommit(b, result.Version, err)
 		})
 }
 
 // raiseGuard raises the partition's guard, so that earlier writes with unknown outcome can no longer take effect.
 func (l *ledgerWriter) raiseGuard(partition string) {
+	l.raisingGuard = true
 	call(l.s, l.timeout(), func(ctx context.Context) (ledger.Guard, error) {
 		return ledger.RaiseGuard(ctx, l.s.Store, partition, l.s.Epoch)
 	}, func(guard ledger.Guard, err error) {
-		l.writing = false
+		l.raisingGuard = false
 		if err != nil {
 			l.switchPartition(partition, 0, err)
 			return
@@ -200,53 +229,74 @@
 	// since holds when the changes were made.
 	since     []time.Duration
 	extraRows []extraRow
-	// bytes is the total size of the values.
+	// keys holds the keys of the rows, without a partition, and bytes is the total size of the values.
+	keys  []table.Key
 	bytes int
 }
 
+// nextBatch returns a transaction with the pending rows that aren't in flight, as far as they fit.
 func (l *ledgerWriter) nextBatch() *ledgerBatch {
 	partition := l.partitions[l.current]
 	b := &ledgerBatch{partition: partition, txn: table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, l.s.guards[partition])}}}
 	size := min(len(l.urgent)+len(l.normal), l.maxRows)
 	b.jobs, b.changes, b.since = make([]*job, 0, size), make([]uint64, 0, size), make([]time.Duration, 0, size)
 	b.txn.Writes = make([]table.Write, 0, min(size+len(l.extraRows), l.maxRows))
-	for len(l.extraRows) > 0 && b.add(l.extraRows[0].write, l.maxRows) {
-		b.extraRows = append(b.extraRows, l.extraRows[0])
-		l.extraRows = l.extraRows[1:]
-	}
-	l.urgent = b.addJobs(l.urgent, l.maxRows, l.encodeRecord)
-	l.normal = b.addJobs(l.normal, l.maxRows, l.encodeRecord)
+	l.extraRows = l.addExtraRows(b, l.extraRows)
+	l.urgent = l.addJobs(b, l.urgent)
+	l.normal = l.addJobs(b, l.normal)
 	return b
 }
 
 // add adds a row, whose key must not name a partition, and returns false if the transaction has no room for it. The
 // first row always fits.
-func (b *ledgerBatch) add(w table.Write, maxRows int) bool {
+func (l *ledgerWriter) add(b *ledgerBatch, w table.Write) bool {
 	n := len(b.txn.Writes)
-	if n > 0 && (n >= maxRows || b.bytes+len(w.Value) > maxBatchBytes) {
+	if n > 0 && (n >= l.maxRows || b.bytes+len(w.Value) > maxBatchBytes) {
 		return false
 	}
 	b.bytes += len(w.Value)
+	b.keys = append(b.keys, w.Key)
+	l.rowsInFlight[w.Key] = true
 	b.txn.Writes = append(b.txn.Writes, table.Write{Key: ledger.InPartition(b.partition, w.Key), Value: w.Value})
 	return true
 }
 
+// addExtraRows adds rows until the transaction is full and returns the remaining ones.
+func (l *ledgerWriter) addExtraRows(b *ledgerBatch, rows []extraRow) []extraRow {
+	var kept []extraRow
+	for i, row := range rows {
+		if l.rowsInFlight[row.write.Key] {
+			kept = append(kept, row)
+			continue
+		}
+		if !l.add(b, row.write) {
+			return append(kept, rows[i:]...)
+		}
+		b.extraRows = append(b.extraRows, row)
+	}
+	return kept
+}
+
 // addJobs adds jobs until the transaction is full and returns the remaining ones.
-func (b *ledgerBatch) addJobs(jobs []*job, maxRows int, encode func(*job) []byte) []*job {
-	for len(jobs) > 0 {
-		j := jobs[0]
-		if j.dirty {
-			if !b.add(table.Write{Key: ledger.JobRecordKey(j.ID), Value: encode(j)}, maxRows) {
-				break
-			}
-			j.dirty = false
-			b.jobs = append(b.jobs, j)
-			b.since = append(b.since, j.dirtySince)
-			b.changes = append(b.changes, j.lastChange)
+func (l *ledgerWriter) addJobs(b *ledgerBatch, jobs []*job) []*job {
+	var kept []*job
+	for i, j := range jobs {
+		k := ledger.JobRecordKey(j.ID)
+		switch {
+		case !j.dirty:
+			continue
+		case l.rowsInFlight[k]:
+			kept = append(kept, j)
+			continue
+		case !l.add(b, table.Write{Key: k, Value: l.encodeRecord(j)}):
+			return append(kept, jobs[i:]...)
 		}
-		jobs = jobs[1:]
+		j.dirty = false
+		b.jobs = append(b.jobs, j)
+		b.since = append(b.since, j.dirtySince)
+		b.changes = append(b.changes, j.lastChange)
 	}
-	return jobs
+	return kept
 }
 
 // encodeRecord returns the encoded record of the job that the ledger stores.
@@ -283,8 +333,10 @@
 }
 
 func (l *ledgerWriter) handleCommit(b *ledgerBatch, version uint64, err error) {
-	l.writing = false
-	l.progress.batch = nil
+	l.inFlight = slices.DeleteFunc(l.inFlight, func(other *ledgerBatch) bool { return other == b })
+	for _, k := range b.keys {
+		delete(l.rowsInFlight, k)
+	}
 	l.s.Metrics.addCommit(b.txn.Size(), err)
 	if err != nil {
 		l.requeue(b, err)
@@ -373,7 +425,7 @@
 	l.extraRows = append(b.extraRows, l.extraRows...)
 }
 
-// switchPartition selects the next partition after a failed write.
+// switchPartition selects the next partition after a failed write, unless another one has failed before.
 func (l *ledgerWriter) switchPartition(partition string, rows int, err error) {
 	failure := fault.As(err)
 	l.s.Log.Write(event.LedgerFailed, event.Fields{
@@ -383,10 +435,12 @@
 	if failure.Outcome() != fault.NotRun || failure.Kind() == fault.Conflict {
 		l.inDoubt[partition] = true
 	}
-	l.failures++
-	l.current = (l.current + 1) % len(l.partitions)
-	if l.failures%len(l.partitions) == 0 {
-		l.retryAt = l.s.Now() + ledgerRetryDelay
+	if partition == l.partitions[l.current] {
+		l.failures++
+		l.current = (l.current + 1) % len(l.partitions)
+		if l.failures%len(l.partitions) == 0 {
+			l.retryAt = l.s.Now() + ledgerRetryDelay
+		}
 	}
 	l.scheduleFlush()
 }
--- a/keel/schedule/persist_test.go
+++ b/keel/schedule/persist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -179,3 +180,90 @@
 		assert.Equal(t, b.rosterCopies(id), 0)
 	})
 }
+
+// addJobs returns n jobs that the scheduler doesn't know.
+func addJobs(n int) []*job {
+	jobs := make([]*job, n)
+	for i := range jobs {
+		jobs[i] = &job{Job: singleStepJob(fmt.Sprintf("%016x", i), "p", 1, time.Second), checkpoints: make(map[string]string)}
+	}
+	return jobs
+}
+
+// Guards against ends that aren't acknowledged, and jobs that aren't shown as completed, for seconds: between two turns of
+// a busy control loop the ledger stored a single transaction.
+func TestLedgerOnBusyLoop(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		jobs := addJobs(2000)
+		b.onLoop(func() {
+			for _, j := range jobs {
+				b.s.markDirty(j)
+			}
+		})
+		for range 10 {
+			b.onLoop(func() { time.Sleep(100 * time.Millisecond) })
+		}
+		stored := 0
+		b.onLoop(func() {
+			for _, j := range jobs {
+				if j.storedChange == j.lastChange {
+					stored++
+				}
+			}
+		})
+		assert.Equal(t, stored, len(jobs))
+	})
+}
+
+// Guards against an older record that replaces a newer one of its job: the store applies transactions in flight in any
+// order.
+func TestLedgerHasRowInOneTransaction(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		random := rand.New(rand.NewPCG(1, 4))
+		inner := b.store.Client("leader").Commit
+		inFlight, most, twice := make(map[string]bool), 0, 0
+		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+			b.mu.Lock()
+			for _, w := range txn.Writes {
+				if inFlight[w.Name] {
+					twice++
+				}
+				inFlight[w.Name] = true
+			}
+			most = max(most, len(inFlight))
+			delay := time.Duration(random.Int64N(int64(150 * time.Millisecond)))
+			b.mu.Unlock()
+			time.Sleep(delay)
+			result, err := inner(ctx, txn)
+			b.mu.Lock()
+			for _, w := range txn.Writes {
+				delete(inFlight, w.Name)
+			}
+			b.mu.Unlock()
+			return result, err
+		}
+		jobs := addJobs(500)
+		for round := range 60 {
+			b.onLoop(func() {
+				for _, j := range jobs {
+					j.checkpoints["0.0.0"] = fmt.Sprint(round)
+					b.s.markDirty(j)
+				}
+			})
+			time.Sleep(17 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, twice, 0)
+		assert.Equal(t, most, maxCommitsInFlight*maxBatchRows)
+		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+		assert.NilError(t, err)
+		for _, j := range jobs {
+			assert.Equal(t, contents.JobRecords[j.ID].Progress.Checkpoints["0.0.0"], "59")
+		}
+		b.commit = nil
+	})
+}
