--- a/keel/relay/link.go
+++ b/keel/relay/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,8 +45,10 @@
 	// collected or sent.
 	queue   []queued
 	sending bool
-	// avoided holds, by worker, until when its orders don't go through this relay.
-	avoided map[string]time.Duration
+	// avoided holds, by worker, until when its orders don't go through this relay; avoidedCheckedAt is when entries that
+	// have ended were last removed.
+	avoided          map[string]time.Duration
+	avoidedCheckedAt time.Duration
 }
 
 type queued struct {
@@ -228,10 +231,10 @@
 }
 
 func (l *link) avoidLocked(workerID string, now time.Duration) {
-	for id, until := range l.avoided {
-		if now >= until {
-			delete(l.avoided, id)
-		}
+	if now-l.avoidedCheckedAt >= avoidWorkerTime {
+		// Many calls may end at the same time, so not each of them goes through all workers.
+		l.avoidedCheckedAt = now
+		maps.DeleteFunc(l.avoided, func(_ string, until time.Duration) bool { return now >= until })
 	}
 	l.avoided[workerID] = now + avoidWorkerTime
 }
--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -45,8 +46,9 @@
 	total, onTime openWork
 	// tasks is the number of tasks that need a run.
 	tasks int
-	// cursor is where the next pass continues to examine the jobs behind those that each pass examines first.
-	cursor rank
+	// cursors holds, by service class, where the next pass continues to examine the jobs behind those that each pass examines
+	// first.
+	cursors [classLate + 1]rank
 }
 
 // rank is a job's place in an order.
@@ -57,6 +59,12 @@
 	job   *job
 }
 
+// startOf returns the place before all jobs of a class. Keys are negative for jobs that were accepted before the clock began.
+func startOf(class int) rank { return rank{class: class, key: math.MinInt64} }
+
+// isIn reports whether the place is one of the class.
+func (r rank) isIn(class int) bool { return r.job != nil && r.class == class }
+
 func compareRanks(a, b rank) int {
 	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key), strings.Compare(a.id, b.id))
 }
@@ -115,6 +123,9 @@
 	if !j.open() || j.queue == nil {
 		return
 	}
+	if j.waiting == 0 && j.maySpeculate {
+		j.maySpeculate = j.needsSpeculativeRun(now)
+	}
 	remaining := j.remaining()
 	lateAt := j.lateAt(remaining)
 	class := j.serviceClass(now, lateAt)
--- a/keel/schedule/estimate.go
+++ b/keel/schedule/estimate.go
@@ -12,6 +12,9 @@
 	// minModelAge times the typical duration: the tasks that end first are the short ones.
 	minDurationSamples = 32
 	minModelAge        = 3
+	// maxUnexplained limits the variance of the logarithm by which the mean is taken to exceed the median: a late control
+	// loop makes single durations far too short.
+	maxUnexplained = 1.0
 	// durationWeight is the weight of a completed task in the moving averages of a model.
 	durationWeight = 1.0 / 256
 )
@@ -21,6 +24,8 @@
 type durationModel struct {
 	began   time.Duration
 	samples int
+	// used is set once the model has replaced estimates.
+	used bool
 	// meanEstimate and meanTook are the means of the logarithms of the estimates and the durations, in seconds.
 	meanEstimate, meanTook float64
 	// varEstimate and varTook are their variances and covariance is their covariance.
@@ -52,7 +57,7 @@
 	}
 	deviation := math.Log(estimate.Seconds()) - m.meanEstimate
 	// The mean of a log-normal variable exceeds its median by half of the variance of the logarithm.
-	unexplained := max(0, m.varTook-slope*m.covariance)
+	unexplained := min(maxUnexplained, max(0, m.varTook-slope*m.covariance))
 	return time.Duration(math.Exp(m.meanTook+slope*deviation+unexplained/2) * float64(time.Second))
 }
 
@@ -106,9 +111,9 @@
 		s.durations.byQueue[queue] = model
 	}
 	s.durations.byImage[key].add(spec.Estimate, took)
-	immature := !model.mature(now)
 	model.add(spec.Estimate, took)
-	if immature && model.mature(now) && t.job().pool != nil {
+	if !model.used && model.mature(now) && t.job().pool != nil {
+		model.used = true
 		s.estimateAgain(t.job().pool, queue)
 	}
 }
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -153,6 +154,21 @@
 	}
 }
 
+// needsSpeculativeRun reports whether some task of the job needs a speculative run.
+func (j *job) needsSpeculativeRun(now time.Duration) bool {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			if step.spec.Speculative && slices.ContainsFunc(step.tasks, func(t *task) bool { return t.needsSpeculativeRun(now) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // speculate records that some task of the job may need a speculative run.
 func (j *job) speculate() {
 	if !j.maySpeculate {
--- a/keel/schedule/missing.go
+++ b/keel/schedule/missing.go
@@ -13,7 +13,13 @@
 	workers int
 	// longRunning is the part of workers for long-running tasks.
 	longRunning int
-	steps       []*stepState
+	steps       []missingStep
+}
+
+// missingStep is a step with the additional workers that it needs.
+type missingStep struct {
+	*stepState
+	workers int
 }
 
 // maxMissingSteps is the maximum number of steps for which additional workers are counted in one pass: the first in
@@ -27,7 +33,7 @@
 func (m *missing) add(step *stepState, workers int) {
 	if workers > 0 {
 		m.workers = max(m.workers, workers)
-		m.steps = append(m.steps, step)
+		m.steps = append(m.steps, missingStep{step, workers})
 		if step.spec.LongRunning {
 			m.longRunning = max(m.longRunning, workers)
 		}
@@ -36,23 +42,22 @@
 
 // merge adds what an earlier pass lacked for steps that still wait.
 func (m *missing) merge(earlier missing) {
-	for _, step := range earlier.steps {
-		if step.waiting > 0 && !m.full() && !slices.Contains(m.steps, step) {
-			m.workers = max(m.workers, earlier.workers)
-			m.longRunning = max(m.longRunning, earlier.longRunning)
-			m.steps = append(m.steps, step)
+	for _, e := range earlier.steps {
+		known := slices.ContainsFunc(m.steps, func(step missingStep) bool { return step.stepState == e.stepState })
+		if e.waiting > 0 && !m.full() && !known {
+			m.add(e.stepState, e.workers)
 		}
 	}
 }
 
 // suits reports whether a new worker of the instance could run a task of one of the steps.
 func (m *missing) suits(i provider.Instance) bool {
-	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.suits(i) })
+	return slices.ContainsFunc(m.steps, func(step missingStep) bool { return step.suits(i) })
 }
 
 // suitsLongRunning reports whether a new worker of the instance could run a task of one of the long-running steps.
 func (m *missing) suitsLongRunning(i provider.Instance) bool {
-	return slices.ContainsFunc(m.steps, func(step *stepState) bool { return step.spec.LongRunning && step.suits(i) })
+	return slices.ContainsFunc(m.steps, func(step missingStep) bool { return step.spec.LongRunning && step.suits(i) })
 }
 
 // addMissing counts the additional workers that the unplaced tasks of the step need, unless no instance could run them.
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -67,31 +67,40 @@
 	maxUnplacedAtHome = 8
 )
 
-// placeWaiting places the waiting tasks of the backlog and reports whether it has examined all of its jobs. The first jobs
-// of each class are examined in each pass, and maxUnplacedJobs of all jobs by turns.
+// placeWaiting places the waiting tasks of the backlog, class by class, and reports whether it has examined all of its jobs.
+// The first jobs of each class are examined in each pass, and maxUnplacedJobs of its other jobs by turns.
 func (pl *planner) placeWaiting(b *backlog) bool {
 	all := true
 	for class := classLongRunning; class <= classLate; class++ {
-		end := rank{class: class + 1}
-		last, complete := walk(b.waiting, rank{class: class}, end, pl.visitor(maxUnplacedJobs))
+		end := startOf(class + 1)
+		last, complete := walk(b.waiting, startOf(class), end, pl.visitor(maxUnplacedJobs))
 		if complete {
 			continue
 		}
 		all = false
 		pl.placeAtHomes(b, last, end)
+		pl.placeByTurns(b, last, end)
 		if !pl.s.starts.open() {
 			return false
 		}
 	}
-	if all {
-		return true
+	return all
+}
+
+// placeByTurns places waiting tasks of the next jobs of a class, of which each pass has examined those up to the given place.
+func (pl *planner) placeByTurns(b *backlog, from, to rank) {
+	if !pl.s.starts.open() {
+		return
+	}
+	cursor := &b.cursors[from.class]
+	if cursor.isIn(from.class) && from.before(*cursor) {
+		from = *cursor
 	}
-	last, complete := walk(b.waiting, b.cursor, rank{class: classLate + 1}, pl.visitor(maxUnplacedJobs))
+	last, complete := walk(b.waiting, from, to, pl.visitor(maxUnplacedJobs))
 	if complete {
 		last = rank{}
 	}
-	b.cursor = last
-	return false
+	*cursor = last
 }
 
 // placeAtHomes places waiting tasks of each data centre's jobs in the range. Each pass begins with another data centre.
@@ -110,9 +119,9 @@
 func (pl *planner) visitor(limit int) func(*job) bool {
 	unplaced := 0
 	return func(j *job) bool {
-		waiting := j.waiting
+		starts := pl.s.starts.inFlight
 		held := pl.placeJob(j)
-		if !held && j.waiting == waiting {
+		if !held && pl.s.starts.inFlight == starts {
 			unplaced++
 		}
 		return unplaced < limit && pl.s.starts.open()
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -91,6 +91,7 @@
 		t.step.addWaiting(-1)
 	}
 	t.runs = append(t.runs, r)
+	t.job().touch()
 	t.nextRun = max(t.nextRun, number+1)
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -117,6 +117,8 @@
 	// The pause before a pass is at least planPauseFactor times the duration of the previous one, so that a pass that
 	// takes long leaves time for responses and orders.
 	planPauseFactor = 2
+	// maxPlanPause limits that pause, since an interrupted process makes a pass long too.
+	maxPlanPause = 100 * time.Millisecond
 	// runNumbersPerEpoch is the distance between the first run numbers of two successive epochs.
 	runNumbersPerEpoch = 1000
 	// tickInterval is the interval of the periodic, time-driven checks.
@@ -220,7 +222,7 @@
 		return
 	}
 	s.planPending = true
-	delay := max(planDelay, planPauseFactor*s.planTook)
+	delay := max(planDelay, min(maxPlanPause, planPauseFactor*s.planTook))
 	due := s.Now() + delay
 	s.after(delay, func() {
 		s.planPending = false
--- a/keel/schedule/task_cost_bench_test.go
+++ b/keel/schedule/task_cost_bench_test.go
@@ -255,9 +255,9 @@
 // addTemplates adds jobs with sizes as those of the class bench-scan of deployment qdw-keel-large, whose homes are spread
 // over the data centres.
 func (f *taskCostFleet) addTemplates() {
-	jobs := &backlogFleet{random: f.random}
+	jobs := &jobSource{random: f.random}
 	for i := range 1000 {
-		job := jobs.newJob(0)
+		job := jobs.next("p")
 		job.ID, job.Home = taskCostID, string(rune('a'+i%taskCostDataCentres))
 		job.Spec = strings.Repeat("0123456789", taskCostSpec/10)
 		f.templates = append(f.templates, taskCostTemplate{string(ledger.Encode(job)), job.Tasks()})
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -133,7 +133,7 @@
 	p.update(c.now, c.s.fleet.mayRun)
 	var rest *task
 	jobs, tasks := 0, 0
-	walk(p.backlog.waiting, rank{}, rank{class: classLate + 1}, func(j *job) bool {
+	walk(p.backlog.waiting, startOf(classLongRunning), startOf(classLate+1), func(j *job) bool {
 		if jobs == maxReportedJobs {
 			rest = j.waitingTask()
 			return false
