--- a/keel/relay/client.go
+++ b/keel/relay/client.go
@@ -85,7 +85,7 @@
 		if l != nil {
 			c.removeLocked(o.Name, l, "it has moved to address "+o.Address)
 		}
-		l = &link{client: c, nameHash: xxhash.Sum64String(o.Name), avoided: make(map[string]time.Duration)}
+		l = &link{client: c, address: o.Address, nameHash: xxhash.Sum64String(o.Name), avoided: make(map[string]time.Duration)}
 		c.links[o.Name] = l
 		c.Log.Write(event.RelayJoined, event.Fields{"relay": o.Name, "address": o.Address, "data_centre": o.DataCentre, "cpu_share": o.CPUShare})
 	}
--- a/keel/relay/link.go
+++ b/keel/relay/link.go
@@ -29,9 +29,11 @@
 	timeoutResolution = 20 * time.Millisecond
 )
 
-// link is the leader's view of one relay; its fields are guarded by the mutex of its client.
+// link is the leader's view of one relay; its fields are guarded by the mutex of its client, but for client, address and
+// nameHash, which don't change.
 type link struct {
 	client    *Client
+	address   string
 	nameHash  uint64
 	offer     Offer
 	offeredAt time.Duration
@@ -251,7 +253,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-		err := l.client.Send(ctx, l.offer.Address, batch)
+		err := l.client.Send(ctx, l.address, batch)
 		cancel()
 		if err != nil {
 			l.failBatch(batch, err)
