--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -256,8 +256,9 @@
 	return s.knownIdle(i, worker, now) && (worker == nil || !worker.orderPending)
 }
 
-// knownIdle reports whether the instance is certain to run nothing and to have no ends to store. That is unknown for a worker that is unresponsive
-// or has not accepted this epoch, and for a listed one that isn't known, until its lease has certainly expired.
+// knownIdle reports whether the instance is certain to run nothing and to have no ends to store. That is unknown for a
+// worker that is unresponsive or has not accepted this epoch, and for a listed one that isn't known, until its lease has
+// certainly expired.
 func (s *Scheduler) knownIdle(i provider.Instance, worker *workerState, now time.Duration) bool {
 	switch {
 	case worker == nil && (s.Config.Pools[i.Pool].Spare || i.Worker == ""):
