The check that one pass fills a free worker is as it was, and listed

The strict check is back. It fails with 25,000 waiting tasks, as a pass examines a bounded number of jobs, and passed on; it is listed. The check of the passes by turns stays beside it as TestPlacementByTurnsFillsFreeWorker. No product code changes.

--- a/keel/schedule/backlog_cost_test.go
+++ b/keel/schedule/backlog_cost_test.go
@@ -71,9 +71,22 @@
 	}
 }
 
-// Guards against tasks that don't start although a worker has become free: the next pass must start tasks there, whatever
-// the size of the backlog, and the passes that examine all of the backlog by turns must fill the worker.
+// Guards against tasks that don't start although a worker has become free: the pass must fill it, whatever the size of
+// the backlog.
 func TestPlacementPassFillsFreeWorker(t *testing.T) {
+	for _, waiting := range []int{500, 25000} {
+		f := newBacklogFleet(t, waiting)
+		for range 20 {
+			f.freeWorker()
+			f.pass()
+			assert.DeepEqual(t, f.unfilledWorkers(work.Size{}), []string(nil))
+		}
+	}
+}
+
+// Guards against room that stays unused for good: the next pass must start tasks on a free worker, and the passes that examine
+// all of the backlog by turns must fill it.
+func TestPlacementByTurnsFillsFreeWorker(t *testing.T) {
 	for _, waiting := range []int{500, 25000} {
 		f := newBacklogFleet(t, waiting)
 		for range 20 {
