--- /dev/null
+++ b/keel/schedule/availability.go
@@ -0,0 +1,107 @@
+package schedule
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// unavailability is the reason why a worker gets no tasks, empty if it may get some.
+type unavailability string
+
+const (
+	notRegistered    unavailability = "not_registered"
+	notFenced        unavailability = "not_fenced"
+	notInRoster      unavailability = "not_in_roster"
+	leaseEndRecorded unavailability = "lease_end_recorded"
+	isDraining       unavailability = "draining"
+	hasOrderPending  unavailability = "instance_order_pending"
+	isUnresponsive   unavailability = "unresponsive"
+	hasOrphans       unavailability = "runs_without_job"
+	hasLateStarts    unavailability = "late_starts"
+	isAvoided        unavailability = "avoided"
+	hasFailures      unavailability = "failures"
+	isReclaimed      unavailability = "reclaimed"
+)
+
+// usable reports whether the worker may get tasks.
+func (s *Scheduler) usable(w *workerState, now time.Duration) bool {
+	return s.unusableFor(w, now) == ""
+}
+
+// unusableFor returns why the worker gets no tasks.
+func (s *Scheduler) unusableFor(w *workerState, now time.Duration) unavailability {
+	switch reason := s.unavailableFor(w, now); {
+	case reason != "":
+		return reason
+	case now < w.failingUntil:
+		return hasFailures
+	case now < w.reclaimedUntil:
+		return isReclaimed
+	}
+	return ""
+}
+
+// healthy reports whether the worker may get tasks, apart from being reclaimed.
+func (s *Scheduler) healthy(w *workerState, now time.Duration) bool {
+	return now >= w.failingUntil && s.available(w, now)
+}
+
+// usableAsLast reports whether the worker may get tasks if no worker of its pool is usable: tasks fail or stall on it, but
+// for so long that another instance could have joined the pool.
+func (s *Scheduler) usableAsLast(w *workerState, now time.Duration) bool {
+	return now-w.failingSince > s.Bounds.MoveTime+workerStartDelay && now >= w.reclaimedUntil && s.available(w, now)
+}
+
+// available reports whether the worker may get tasks, apart from being reclaimed and from failures on it.
+func (s *Scheduler) available(w *workerState, now time.Duration) bool {
+	return s.unavailableFor(w, now) == ""
+}
+
+// unavailableFor returns why the worker gets no tasks, apart from being reclaimed and from failures on it.
+func (s *Scheduler) unavailableFor(w *workerState, now time.Duration) unavailability {
+	switch {
+	case !w.registered || w.removed:
+		return notRegistered
+	case w.unresponsiveSince != 0:
+		return isUnresponsive
+	case !w.fenced:
+		return notFenced
+	case !w.rostered:
+		return notInRoster
+	case w.leaseEndStored:
+		return leaseEndRecorded
+	case w.Draining:
+		return isDraining
+	case w.orderPending:
+		return hasOrderPending
+	case len(w.orphans) > 0:
+		return hasOrphans
+	case len(s.lateStarts[w.ID]) > 0:
+		return hasLateStarts
+	case now < w.avoidUntil:
+		return isAvoided
+	}
+	return ""
+}
+
+// countWorkers returns the number of the pool's usable workers, and of the others by reason, formatted for the log. The pool
+// is nil for jobs without one.
+func (s *Scheduler) countWorkers(p *pool, now time.Duration) (usable int, others string) {
+	if p == nil {
+		return 0, ""
+	}
+	counts := make(map[unavailability]int)
+	for w := range p.workers {
+		counts[s.unusableFor(w, now)]++
+	}
+	usable = counts[""]
+	delete(counts, "")
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", reason, counts[reason]))
+	}
+	return usable, strings.Join(parts, " ")
+}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -82,9 +82,11 @@
 		if g.held.until > 0 {
 			endsIn = g.held.until - now
 		}
+		usable, unusable := s.countWorkers(s.pools[g.pool], now)
 		s.Log.Write(event.TasksWaiting, event.Fields{
 			"pool": g.pool, "cause": string(g.cause), "tasks": g.tasks, "long_running": g.longRunning, "task": g.longest.id().String(),
 			"waited_ms": (now - g.held.since).Milliseconds(), "worker": g.held.worker, "ends_in_ms": endsIn.Milliseconds(),
+			"usable": usable, "unusable": unusable,
 		})
 	}
 	s.Metrics.setWaits(groups, now)
