--- /dev/null
+++ b/keel/schedule/gang.go
@@ -0,0 +1,46 @@
+package schedule
+
+import "samphirekeel.example/keel/work"
+
+// placeGang starts all tasks of a gang step in one pass, or none.
+func (pl *planner) placeGang(step *stepState) {
+	if !pl.s.ensureTickets(step, pl) {
+		return
+	}
+	if !pl.s.starts.open() {
+		return
+	}
+	// All members get the same run number, the highest that one of them needs.
+	number := int64(0)
+	reserved := make(reservations)
+	selected := make([]*workerState, len(step.tasks))
+	for i, t := range step.tasks {
+		if !t.needsRun() || pl.now < t.notBefore {
+			return
+		}
+		w := pl.selectWorker(step, t, reserved)
+		if w == nil {
+			pl.allowDataCentres(step, 1)
+			pl.addMissing(step, len(step.tasks)-i)
+			return
+		}
+		reserved.add(w, step.size())
+		selected[i] = w
+		number = max(number, t.nextRun)
+	}
+	for i, t := range step.tasks {
+		pl.s.start(t, selected[i], number, step.tickets.forWorker(selected[i]))
+	}
+}
+
+// reservations holds what the members of a gang take on each worker before any of them starts.
+type reservations map[*workerState]reservation
+
+type reservation struct {
+	size  work.Size
+	tasks int
+}
+
+func (r reservations) add(w *workerState, size work.Size) {
+	r[w] = reservation{size: r[w].size.Plus(size), tasks: r[w].tasks + 1}
+}
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
-	"samphirekeel.example/keel/work"
 )
 
 // plan runs one placement pass over all pools and then rebalances instances between them.
@@ -261,45 +260,14 @@
 	})
 }
 
-// placeGang starts all tasks of a gang step in one pass, or none.
-func (pl *planner) placeGang(step *stepState) {
-	if !pl.s.ensureTickets(step, pl) {
-		return
-	}
-	if !pl.s.starts.open() {
-		return
-	}
-	// All members get the same run number, the highest that one of them needs.
-	number := int64(0)
-	reserved := make(map[*workerState]work.Size)
-	selected := make([]*workerState, len(step.tasks))
-	for i, t := range step.tasks {
-		if !t.needsRun() || pl.now < t.notBefore {
-			return
-		}
-		w := pl.selectWorker(step, t, reserved)
-		if w == nil {
-			pl.allowDataCentres(step, 1)
-			pl.addMissing(step, len(step.tasks)-i)
-			return
-		}
-		reserved[w] = reserved[w].Plus(step.size())
-		selected[i] = w
-		number = max(number, t.nextRun)
-	}
-	for i, t := range step.tasks {
-		pl.s.start(t, selected[i], number, step.tickets.forWorker(selected[i]))
-	}
-}
-
 // unconstrained reports whether every worker with enough free capacity may run the step.
 func (st *stepState) unconstrained() bool {
 	return st.spec.MaxPerWorker == 0 && st.spec.Label == "" && st.tickets.byWorker == nil && !st.spec.Gang
 }
 
 // selectWorker returns the best-fit worker for the task, adjusted by the step's preferences, or nil if no worker
-// qualifies. The sizes in reserved are treated as used.
-func (pl *planner) selectWorker(step *stepState, t *task, reserved map[*workerState]work.Size) *workerState {
+// qualifies. What is reserved is treated as used.
+func (pl *planner) selectWorker(step *stepState, t *task, reserved reservations) *workerState {
 	size := step.size()
 	// A task that failed, or has a run, may not start on every worker with room.
 	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0
@@ -325,15 +293,15 @@
 }
 
 // selectInGroup returns the best placement of the task in the group, without a worker if none qualifies.
-func (pl *planner) selectInGroup(g *candidateGroup, step *stepState, t *task, reserved map[*workerState]work.Size) placement {
+func (pl *planner) selectInGroup(g *candidateGroup, step *stepState, t *task, reserved reservations) placement {
 	size := step.size()
 	var best placement
 	for _, w := range g.workers {
-		free := w.free()
+		free, more := w.free(), 1
 		if reserved != nil {
-			free = free.Minus(reserved[w])
+			free, more = free.Minus(reserved[w].size), 1+reserved[w].tasks
 		}
-		if !free.Holds(size) || !pl.allowed(step, t, w) {
+		if !free.Holds(size) || !step.permits(w, more) || !pl.allowed(step, t, w) {
 			continue
 		}
 		found := placement{w, pl.cost(step, w, free, reserved)}
@@ -360,12 +328,10 @@
 	return p.cost == other.cost && p.worker.ID < other.worker.ID
 }
 
-// allowed reports whether the step's hard constraints permit the task on the worker.
+// allowed reports whether the step's hard constraints permit the task on the worker, apart from its label and limit.
 func (pl *planner) allowed(step *stepState, t *task, w *workerState) bool {
 	spec := step.spec
 	switch {
-	case !step.permits(w):
-		return false
 	case t.runsOn(w):
 		// A speculative run on the same worker would be rejected.
 		return false
@@ -379,10 +345,10 @@
 	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn) || pl.now-t.readySince > maxRetryElsewhere
 }
 
-// permits reports whether the step's label and its limit per worker permit another task on the worker.
-func (st *stepState) permits(w *workerState) bool {
+// permits reports whether the step's label and its limit per worker permit more of its tasks on the worker.
+func (st *stepState) permits(w *workerState, more int) bool {
 	spec := st.spec
-	return (spec.Label == "" || w.HasLabel(spec.Label)) && (spec.MaxPerWorker == 0 || w.perStep[st] < spec.MaxPerWorker)
+	return (spec.Label == "" || w.HasLabel(spec.Label)) && (spec.MaxPerWorker == 0 || w.perStep[st]+more <= spec.MaxPerWorker)
 }
 
 // maxRetryElsewhere is how long a task that failed waits for a worker on another instance.
@@ -397,63 +363,3 @@
 	}
 	return false
 }
-
-const (
-	// rackMismatchCost penalises a worker outside the rack of the step's data or of its other tasks. Placement costs
-	// are in units of a worker's whole capacity: 1 is the difference between a full and an empty worker.
-	rackMismatchCost = 4.0
-	// remoteDataCentreCost keeps tasks in the job's home data centre, so that the loss of a data centre affects few
-	// jobs.
-	remoteDataCentreCost = 1.0
-	// maintenanceDueCost keeps long-running tasks off instances that they would soon have to leave for maintenance.
-	maintenanceDueCost = 2.0
-	// crowdingCost spreads a step's best-effort tasks over the workers.
-	crowdingCost = 2.0
-)
-
-// cost returns the placement cost of the step on the worker; the lowest cost is selected.
-func (pl *planner) cost(step *stepState, w *workerState, free work.Size, reserved map[*workerState]work.Size) float64 {
-	cost := share(free.MilliCores, w.Capacity.MilliCores)
-	spec := step.spec
-	if home := step.occurrence.job.Home; home != "" && home != w.DataCentre {
-		cost += remoteDataCentreCost
-	}
-	if spec.DataRack != "" && spec.DataRack != w.Rack {
-		cost += rackMismatchCost
-	}
-	if spec.SameRack && !sameRack(step, w, reserved) {
-		cost += rackMismatchCost
-	}
-	if spec.LongRunning && pl.s.maintenanceDue(w.Instance) {
-		cost += maintenanceDueCost
-	}
-	if spec.BestEffort {
-		// Best-effort tasks use idle processor time, so the emptiest worker is preferred.
-		cost = -cost + crowdingCost*float64(w.perStep[step])
-	}
-	return cost
-}
-
-func share(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
-// sameRack reports whether the worker is on the same rack as every running or reserved task of the step.
-func sameRack(step *stepState, w *workerState, reserved map[*workerState]work.Size) bool {
-	for other := range reserved {
-		if other.Rack != w.Rack {
-			return false
-		}
-	}
-	for _, t := range step.tasks {
-		for _, r := range t.runs {
-			if r.worker.Rack != w.Rack {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -62,7 +62,7 @@
 	}
 	available := 0
 	for _, w := range pl.candidates.workers {
-		if st.allows(w, pl.now) && step.permits(w) && w.free().Holds(step.size()) {
+		if st.allows(w, pl.now) && step.permits(w, 1) && w.free().Holds(step.size()) {
 			available++
 		}
 	}
@@ -83,7 +83,7 @@
 	st := &step.tickets
 	var ids []string
 	for _, w := range pl.candidates.workers {
-		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && step.permits(w) && w.free().Holds(step.size()) {
+		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && step.permits(w, 1) && w.free().Holds(step.size()) {
 			ids = append(ids, w.ID)
 		}
 	}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -298,7 +298,7 @@
 			if !j.mayRunIn(g.dataCentre) {
 				break
 			}
-			if pl.allowed(t.step, t, w) {
+			if t.step.permits(w, 1) && pl.allowed(t.step, t, w) {
 				if t.step.spec.Gang {
 					return waitGang
 				}
