Avoided workers run tasks that wait while most of the pool is free

Callers saw a task of an accepted job without a run long after the traffic, with most of its workers' room free. One way to it: tasks failed on most workers of a small pool, which are avoided for up to 20 s, also after they have recovered, and the workers that aren't avoided are full or may not run the task. Avoided workers were a last resort only if no worker of the pool was usable at all, whatever the others had room for.

A task that has found no room for as long as another instance takes to join the pool may now start on an avoided worker, as long as at most half of the pool's capacity is in use. While more is, tasks wait for sound workers, since each attempt on a failing one may be the last that the queue allows. A task still prefers the workers that aren't avoided.

--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -49,12 +49,6 @@
 	return now >= w.failingUntil && s.available(w, now)
 }
 
-// usableAsLast reports whether the worker may get tasks if no worker of its pool is usable: tasks fail or stall on it, but
-// for so long that another instance could have joined the pool.
-func (s *Scheduler) usableAsLast(w *workerState, now time.Duration) bool {
-	return now-w.failingSince > s.Bounds.MoveTime+workerStartDelay && now >= w.reclaimedUntil && s.available(w, now)
-}
-
 // available reports whether the worker may get tasks, apart from being reclaimed and from failures on it.
 func (s *Scheduler) available(w *workerState, now time.Duration) bool {
 	return s.unavailableFor(w, now) == ""
--- a/keel/schedule/candidates.go
+++ b/keel/schedule/candidates.go
@@ -51,6 +51,20 @@
 	g.maxFree.Accelerators = max(g.maxFree.Accelerators, free.Accelerators)
 }
 
+// addAll adds the pool's workers that are usable.
+func (c *candidates) addAll(p *pool, usable func(*workerState) bool) {
+	for w := range p.workers {
+		if usable(w) {
+			c.add(w)
+		}
+	}
+}
+
+// mayHold reports whether some group may have a worker with room for the size.
+func (c *candidates) mayHold(size work.Size) bool {
+	return slices.ContainsFunc(c.groups, func(g *candidateGroup) bool { return !g.isUnplaceable(size) })
+}
+
 // startingWith returns the groups, that of the named data centre first.
 func (c *candidates) startingWith(dataCentre string) []*candidateGroup {
 	for i, g := range c.groups {
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		d := &demand{pool: p}
-		d.required, d.requiredOnTime = p.requiredCapacity(now, s.Bounds.MoveTime+workerStartDelay, s.fleet.mayRun)
+		d.required, d.requiredOnTime = p.requiredCapacity(now, s.joinTime(), s.fleet.mayRun)
 		for w := range p.workers {
 			if !s.healthy(w, now) {
 				continue
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -36,6 +36,9 @@
 	s          *Scheduler
 	now        time.Duration
 	candidates candidates
+	// lastResort holds the pool's avoided workers for tasks that have waited long for a candidate, while most of the pool's
+	// capacity is free.
+	lastResort candidates
 	// unfenced holds, by data centre, the unfenced worker whose lease expires last.
 	unfenced map[string]*workerState
 	missing  missing
@@ -130,9 +133,12 @@
 // newPlanner returns a planner with the usable workers of the pool as candidates, or those that are usable as a last resort.
 func (s *Scheduler) newPlanner(p *pool, now time.Duration) *planner {
 	pl := &planner{s: s, now: now, unfenced: make(map[string]*workerState)}
-	pl.addCandidates(p, s.usable)
-	if len(pl.candidates.workers) == 0 {
-		pl.addCandidates(p, s.usableAsLast)
+	pl.candidates.addAll(p, func(w *workerState) bool { return s.usable(w, now) })
+	switch {
+	case len(pl.candidates.workers) == 0:
+		pl.candidates.addAll(p, func(w *workerState) bool { return s.usableAsLast(w, now) })
+	case len(pl.candidates.workers) < len(p.workers) && p.isMostlyFree():
+		pl.lastResort.addAll(p, func(w *workerState) bool { return now < w.failingUntil && s.usableAsLast(w, now) })
 	}
 	for _, w := range s.unfenced {
 		last := pl.unfenced[w.DataCentre]
@@ -143,15 +149,6 @@
 	return pl
 }
 
-// addCandidates adds the pool's workers that may get tasks.
-func (pl *planner) addCandidates(p *pool, usable func(*workerState, time.Duration) bool) {
-	for w := range p.workers {
-		if usable(w, pl.now) {
-			pl.candidates.add(w)
-		}
-	}
-}
-
 // placeJob starts the job's waiting tasks as far as there is room, and reports whether an unfenced worker holds the job.
 func (pl *planner) placeJob(j *job) (held bool) {
 	fenced := pl.unfencedWorkerFor(j) == nil
@@ -191,7 +188,11 @@
 	if j.Home == "" {
 		return
 	}
-	for _, dataCentre := range pl.candidates.mostFree(step.size(), n, j.mayRequest) {
+	names := pl.candidates.mostFree(step.size(), n, j.mayRequest)
+	if len(names) == 0 && pl.mayUseLastResort(step) {
+		names = pl.lastResort.mostFree(step.size(), n, j.mayRequest)
+	}
+	for _, dataCentre := range names {
 		j.allowDataCentre(dataCentre, pl.s.markDirty(j))
 	}
 }
@@ -236,16 +237,11 @@
 // isHopeless reports whether no task of the step can start in this pass, and no data centre that the job may not use yet
 // has room for one.
 func (pl *planner) isHopeless(step *stepState) bool {
-	if step.spec.Speculative {
-		return false
-	}
 	size := step.size()
-	for _, g := range pl.candidates.groups {
-		if !g.isUnplaceable(size) {
-			return false
-		}
+	if step.spec.Speculative || pl.candidates.mayHold(size) {
+		return false
 	}
-	return true
+	return !pl.mayUseLastResort(step) || !pl.lastResort.mayHold(size)
 }
 
 // logSpeculativeRun logs that a task gets a second run in parallel with its first one.
@@ -268,12 +264,20 @@
 // selectWorker returns the best-fit worker for the task, adjusted by the step's preferences, or nil if no worker
 // qualifies. What is reserved is treated as used.
 func (pl *planner) selectWorker(step *stepState, t *task, reserved reservations) *workerState {
+	w := pl.selectFrom(&pl.candidates, step, t, reserved)
+	if w == nil && pl.isLastResortFor(t) {
+		w = pl.selectFrom(&pl.lastResort, step, t, reserved)
+	}
+	return w
+}
+
+func (pl *planner) selectFrom(c *candidates, step *stepState, t *task, reserved reservations) *workerState {
 	size := step.size()
 	// A task that failed, or has a run, may not start on every worker with room.
 	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0
 	j := step.occurrence.job
 	var best placement
-	for _, g := range pl.candidates.startingWith(j.Home) {
+	for _, g := range c.startingWith(j.Home) {
 		if best.worker != nil && best.cost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
 			// No worker outside the home data centre costs less.
 			break
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -61,14 +61,15 @@
 		st.denied = make(map[string]bool)
 	}
 	available := 0
-	for _, w := range pl.candidates.workers {
+	eligible := pl.eligible(step)
+	for _, w := range eligible {
 		if st.allows(w, pl.now) && step.permits(w, 1) && w.free().Holds(step.size()) {
 			available++
 		}
 	}
 	mayRequest := !st.requesting && pl.now-st.requestedAt >= ticketRequestInterval
 	if mayRequest && available < step.waiting {
-		s.requestTickets(step, pl)
+		s.requestTickets(step, eligible, pl.now)
 	}
 	if mayRequest && available == 0 && !st.requesting {
 		// No candidate is left that could get a ticket.
@@ -77,13 +78,13 @@
 	return available > 0
 }
 
-// requestTickets requests tickets for workers with enough capacity that the step's constraints permit and the policy
-// hasn't denied.
-func (s *Scheduler) requestTickets(step *stepState, pl *planner) {
+// requestTickets requests tickets for those of the workers with enough capacity that the step's constraints permit and the
+// policy hasn't denied.
+func (s *Scheduler) requestTickets(step *stepState, eligible []*workerState, now time.Duration) {
 	st := &step.tickets
 	var ids []string
-	for _, w := range pl.candidates.workers {
-		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, pl.now) && step.permits(w, 1) && w.free().Holds(step.size()) {
+	for _, w := range eligible {
+		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, now) && step.permits(w, 1) && w.free().Holds(step.size()) {
 			ids = append(ids, w.ID)
 		}
 	}
@@ -94,7 +95,7 @@
 	policy := step.occurrence.job.queue.Policy
 	timeout := policy.BaseTime + policy.TimePerWorker*time.Duration(len(ids)) + ticketTimeoutMargin
 	name := (&task{step: step}).id().StepName()
-	st.requesting, st.requestedAt = true, pl.now
+	st.requesting, st.requestedAt = true, now
 	call(s, timeout, func(ctx context.Context) ([]worker.Ticket, error) {
 		return s.Policy.RequestTickets(ctx, name, ids, timeout)
 	},
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -285,7 +285,11 @@
 	}
 	j, size := t.job(), t.step.size()
 	cause := waitCapacity
-	for _, g := range pl.candidates.groups {
+	groups := pl.candidates.groups
+	if pl.isLastResortFor(t) {
+		groups = slices.Concat(groups, pl.lastResort.groups)
+	}
+	for _, g := range groups {
 		if g.isUnplaceable(size) {
 			continue
 		}
