The log tells the inputs of a failed job's outcome

- task_failed: a failed run that a worker lists, with the failures of the task, the limit of its queue (0 if it isn't known), the queue, the version of the configuration and whether an earlier leader started the run.
One line a failed run.
- attempts_exhausted: the same for a job that fails, one line a job.
- leader_ready: the version of the configuration, 0 without one, and the number of open jobs whose queue isn't known.

No change of the logic.

--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -48,13 +48,15 @@
 	TasksWaiting
 	OrdersInFlight
 	LedgerProgress
+	TaskFailed
+	AttemptsExhausted
 )
 
 var scheduleEvents = []Definition{
 	{LeaderChanged, "leader_changed", logrus.InfoLevel, "a quorum of the lease's rows names another holder or epoch", []string{"holder", "epoch", "before"}},
 	{LeaseRowUnreadable, "lease_row_unreadable", logrus.ErrorLevel, "a row of the lease can't be decoded or encoded", []string{"reason", "version"}},
 	{LeaderLost, "leader_lost", logrus.WarnLevel, "this entry stands down as leader and places no more tasks", []string{"epoch", "reason"}},
-	{LeaderReady, "leader_ready", logrus.InfoLevel, "this entry has loaded the ledger as leader and starts to place tasks", []string{"epoch", "jobs", "workers", "unheard", "took_ms"}},
+	{LeaderReady, "leader_ready", logrus.InfoLevel, "this entry has loaded the ledger as leader and starts to place tasks, with the version of its configuration (0 if it has none yet) and the number of open jobs whose queue it doesn't know", []string{"epoch", "jobs", "workers", "unheard", "config", "unrouted", "took_ms"}},
 	{RecoveryStep, "recovery_step", logrus.InfoLevel, "a step of a leader's takeover has failed and is retried", []string{"epoch", "step", "outcome"}},
 	{JobTaken, "job_taken", logrus.InfoLevel, "the leader accepts a job for scheduling", []string{"job", "queue", "tasks", "source", "version", "shape"}},
 	{JobFinished, "job_finished", logrus.InfoLevel, "a job's outcome is stored", []string{"job", "state", "reason", "age_ms", "late_ms"}},
@@ -94,5 +96,7 @@
 	{TasksWaiting, "tasks_waiting", logrus.InfoLevel, "tasks of a pool should run and have had no run for 2 s, by cause, with the task that has waited longest, the worker that holds it and the time until the wait ends by itself (0 if it doesn't); the cause none means that a worker has room for the task", []string{"pool", "cause", "tasks", "long_running", "task", "waited_ms", "worker", "ends_in_ms"}},
 	{OrdersInFlight, "orders_in_flight", logrus.InfoLevel, "the orders to start and to stop runs in flight, their limits and average latencies are logged periodically; a start over the limit waits for the next placement pass, a stop is held; with the placement passes since the last line: their duration, that of the longest one, and the longest time by which the busy control loop delayed one", []string{"starts", "start_limit", "stops", "stop_limit", "stops_held", "start_ms", "stop_ms", "passes", "passes_ms", "longest_pass_ms", "loop_delay_ms"}},
 	{LedgerProgress, "ledger_progress", logrus.InfoLevel, "the jobs whose changes the ledger has stored since the last line, with the longest time that one waited for it, and the jobs whose changes wait, with the longest wait so far", []string{"stored", "longest_ms", "waiting", "oldest_ms", "commit_ms"}},
+	{TaskFailed, "task_failed", logrus.InfoLevel, "a worker reported a failed run, with the task's failed runs so far, the limit of its queue (0 if it isn't known), the version of the configuration (0 if there is none) and whether an earlier leader started the run", []string{"task", "run", "worker", "failures", "limit", "queue", "config", "earlier_epoch"}},
+	{AttemptsExhausted, "attempts_exhausted", logrus.InfoLevel, "a job fails because a task has failed as often as its queue allows, with the inputs of the decision as in task_failed and the number of failed runs that earlier leaders started", []string{"job", "task", "failures", "limit", "queue", "config", "earlier_epochs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/queue/config.go
+++ b/keel/queue/config.go
@@ -83,6 +83,14 @@
 	return c
 }
 
+// VersionOrZero returns the version, 0 if there is no configuration.
+func (c *Config) VersionOrZero() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
 // QueueByName returns the queue with the name, or nil.
 func (c *Config) QueueByName(name string) *Queue {
 	if c == nil {
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -107,6 +107,7 @@
 	s.followStore(contents.registrations.Version)
 	s.Log.Write(event.LeaderReady, event.Fields{
 		"epoch": s.Epoch, "jobs": len(s.jobs), "workers": len(s.workers), "unheard": len(s.unfenced),
+		"config": s.Config.VersionOrZero(), "unrouted": len(s.unrouted),
 		"took_ms": (s.Now() - s.began).Milliseconds(),
 	})
 	s.fetchInstances()
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -50,6 +50,7 @@
 	case worker.Failed:
 		failed := work.FailedRun{Step: end.Task.Step, Occurrence: end.Task.Occurrence, Index: end.Task.Index, Run: end.Run, Instance: w.Instance}
 		if s.recordFailure(t, failed) {
+			s.Log.WriteFunc(event.TaskFailed, func() event.Fields { return s.failureFields(t, w, end.Run) })
 			s.recordWorkerFailure(w, t)
 			s.markDirty(j)
 		}
@@ -105,7 +106,39 @@
 		limit = j.queue.MaxAttempts
 	}
 	if !t.step.spec.LongRunning && t.failures >= limit && j.open() && !t.done {
+		s.Log.WriteFunc(event.AttemptsExhausted, func() event.Fields { return s.exhaustedFields(t) })
 		s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
 	}
 	return true
 }
+
+// knownLimit returns the number of failed runs that the job's queue allows a task, 0 if the queue isn't known.
+func (j *job) knownLimit() int {
+	if j.queue == nil {
+		return 0
+	}
+	return j.queue.MaxAttempts
+}
+
+// failureFields returns the fields of the line about a failed run.
+func (s *Scheduler) failureFields(t *task, w *workerState, run int64) event.Fields {
+	j := t.job()
+	return event.Fields{
+		"task": t.id().String(), "run": run, "worker": w.ID, "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"config": s.Config.VersionOrZero(), "earlier_epoch": run <= s.runBase,
+	}
+}
+
+// exhaustedFields returns the fields of the line about a job that fails because of the task.
+func (s *Scheduler) exhaustedFields(t *task) event.Fields {
+	j, earlier := t.job(), 0
+	for _, f := range j.failures {
+		if f.Step == t.step.index && f.Occurrence == t.step.occurrence.index && f.Index == t.index && f.Run <= s.runBase {
+			earlier++
+		}
+	}
+	return event.Fields{
+		"job": j.ID, "task": t.id().String(), "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"config": s.Config.VersionOrZero(), "earlier_epochs": earlier,
+	}
+}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -33,6 +33,8 @@
 	fleet   *emulator.Fleet
 	began   time.Time
 	s       *Scheduler
+	// log is the scheduler's log, discarded if it is nil.
+	log *event.Log
 	// commit, start, stop and renew replace the store's and the workers' calls if they are set.
 	commit func(ctx context.Context, txn table.Txn) (table.Result, error)
 	start  func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error)
@@ -95,14 +97,24 @@
 	<-done
 }
 
-// startEpoch starts a scheduler for the epoch, with a spare pool and with one queue for each named pool.
-func (b *testbed) startEpoch(epoch int64, pools ...string) {
+// newConfig returns a configuration with a spare pool and with one queue for each named pool.
+func newConfig(version uint64, pools ...string) *queue.Config {
 	var queues []*queue.Queue
 	all := []queue.Pool{{Name: "spare", Spare: true}}
 	for _, name := range pools {
 		queues = append(queues, &queue.Queue{Name: name, Pool: name, MaxAttempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond})
 		all = append(all, queue.Pool{Name: name})
 	}
+	return queue.NewConfig(version, queues, all, queue.Limits{})
+}
+
+// startEpoch starts a scheduler for the epoch, with a spare pool and with one queue for each named pool.
+func (b *testbed) startEpoch(epoch int64, pools ...string) {
+	b.startEpochWith(epoch, newConfig(1, pools...))
+}
+
+// startEpochWith starts a scheduler for the epoch with the configuration, which may be nil.
+func (b *testbed) startEpochWith(epoch int64, config *queue.Config) {
 	store := b.store.Client("leader")
 	inner := store.Commit
 	store.Commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
@@ -133,14 +145,18 @@
 		}
 		return innerRenew(ctx, to, o)
 	}
+	log := b.log
+	if log == nil {
+		log = event.New(io.Discard, true)
+	}
 	b.s = &Scheduler{
-		Loop: b.loop, Log: event.New(io.Discard, true), Store: store, Workers: workers, Provider: b.recordingProvider(),
+		Loop: b.loop, Log: log, Store: store, Workers: workers, Provider: b.recordingProvider(),
 		Bounds: deployment.Bounds{
 			LeaseMax: 10 * time.Second, StopTime: 200 * time.Millisecond, MoveTime: 1500 * time.Millisecond,
 			MaintenanceTime: b.fleet.Times.MaintenanceTime, DisruptionTime: 4500 * time.Millisecond, Restore: 100 * time.Millisecond,
 		},
 		Limits: deployment.InstanceService{OrdersPerSecond: 64}, Holder: "leader", Epoch: epoch,
-		Config: queue.NewConfig(1, queues, all, queue.Limits{}), InstanceOrdersFrom: make(map[string]time.Duration),
+		Config: config, InstanceOrdersFrom: make(map[string]time.Duration),
 		Now:  func() time.Duration { return time.Since(b.began) + time.Hour },
 		Wall: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, LeaseValid: func() bool { return true },
 		Rows: RowCodec{
