A leader that doesn't know a job's queue fails it: reproduction

TestUnknownQueueFailsNoJob: one failed run of a task is stored, the queue allows three. The job is then shown as failed, and that is stored, in each of four cases: the next leader has no configuration, which it gets 2 s later; the next leader's version lacks the queue; a version without the queue is applied while a run fails; a run fails while the next leader has none.

Cause, read: startLeading passes the entry's configuration, which may be nil; route then finds no queue, and recordFailure takes a limit of 1, for what restore reads of the ledger and for ends that workers list.

--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -10,6 +10,7 @@
 
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/work"
 )
 
 // lastLine returns the fields of the last line with the name, nil if there is none.
@@ -53,3 +54,77 @@
 		assert.Equal(t, exhausted["earlier_epochs"], 0.0)
 	})
 }
+
+// failures returns the number of failed runs of the first job.
+func (b *testbed) failures() int {
+	n := 0
+	b.onLoop(func() { n = len(b.s.jobs[firstJob].failures) })
+	return n
+}
+
+// failRuns lets the runs on instance m1 fail until the first job has n failed runs, and then waits until they are stored.
+func (b *testbed) failRuns(n int) {
+	b.fleet.SetBehaviour("m1", emulator.Behaviour{Fails: true})
+	for deadline := time.Now().Add(30 * time.Second); b.failures() < n && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	b.fleet.SetBehaviour("m1", emulator.Behaviour{})
+	assert.Equal(b.t, b.failures(), n)
+	time.Sleep(200 * time.Millisecond)
+}
+
+// submitFailing submits the first job, whose queue allows three failed runs of a task, and lets n runs fail.
+func (b *testbed) submitFailing(n int) {
+	b.addInstance("m1")
+	b.startEpochWith(1, newConfig(1, "p"))
+	time.Sleep(500 * time.Millisecond)
+	b.submit(singleStepJob(firstJob, "p", 1, 10*time.Second), 10*time.Second)
+	b.failRuns(n)
+}
+
+// unknownQueueCases holds what happens after one failed run of the first job was stored.
+var unknownQueueCases = map[string]func(b *testbed){
+	"leader without configuration": func(b *testbed) {
+		b.onLoop(b.s.End)
+		b.startEpochWith(2, nil)
+		time.Sleep(2 * time.Second)
+		assert.Assert(b.t, b.state() != work.Failed)
+		b.onLoop(func() { b.s.SetConfig(newConfig(1, "p")) })
+	},
+	"leader with a version that lacks the queue": func(b *testbed) {
+		b.onLoop(b.s.End)
+		b.startEpochWith(2, newConfig(2, "q"))
+		time.Sleep(2 * time.Second)
+		assert.Assert(b.t, b.state() != work.Failed)
+		b.onLoop(func() { b.s.SetConfig(newConfig(3, "p", "q")) })
+	},
+	"version that lacks the queue while a run fails": func(b *testbed) {
+		b.onLoop(func() { b.s.SetConfig(newConfig(2, "q")) })
+		b.failRuns(2)
+		assert.Assert(b.t, b.state() != work.Failed)
+		b.onLoop(func() { b.s.SetConfig(newConfig(3, "p", "q")) })
+	},
+	"failed run listed before the configuration is known": func(b *testbed) {
+		b.onLoop(b.s.End)
+		b.startEpochWith(2, nil)
+		time.Sleep(time.Second)
+		b.failRuns(2)
+		assert.Assert(b.t, b.state() != work.Failed)
+		b.onLoop(func() { b.s.SetConfig(newConfig(1, "p")) })
+	},
+}
+
+// Guards against a job that is shown as failed although no task has failed as often as its queue allows: the leader doesn't
+// know the queue when it reads or hears of a failed run.
+func TestUnknownQueueFailsNoJob(t *testing.T) {
+	for name, run := range unknownQueueCases {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.submitFailing(1)
+				run(b)
+				time.Sleep(40 * time.Second)
+				assert.Equal(t, b.state(), work.Completed)
+			})
+		})
+	}
+}
