Whether a job has run out of attempts is decided once its queue is known

Cause: recordFailure decided with whatever the leader knew, and took a limit of 1 for a job without a queue: under a leader that has no configuration yet, or whose version lacks the queue. The outcome is stored, so no later leader mends it.

recordFailure now only records. checkAttempts decides, from all recorded failures: after a failure that a worker lists, at the end of a restore, and in route, when the queue becomes known or changes. A version that lowers the limit also decides at once, where before another run was started first.

TestAttemptsAreCheckedOnceQueueIsKnown failed before ("2 (int) != 3 (n int)": failed at the takeover), and so did TestAttemptsAreCheckedWhenLimitChanges ("running != failed").

--- /dev/null
+++ b/keel/schedule/attempts.go
@@ -0,0 +1,63 @@
+package schedule
+
+import (
+	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/work"
+)
+
+// checkAttempts fails the job if a task has failed as often as the job's queue allows. It is called when a failed run is
+// recorded and when the queue becomes known or changes; while the queue isn't known, it decides nothing.
+func (s *Scheduler) checkAttempts(j *job) {
+	if j.queue == nil || !j.open() {
+		return
+	}
+	t := s.exhaustedTask(j)
+	if t == nil {
+		return
+	}
+	s.Log.WriteFunc(event.AttemptsExhausted, func() event.Fields { return s.exhaustedFields(t) })
+	s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
+}
+
+// exhaustedTask returns a task of the job that has failed as often as the queue allows, or nil. Long-running tasks have no
+// limit, and failures of a task that is done don't count.
+func (s *Scheduler) exhaustedTask(j *job) *task {
+	for _, failed := range j.failures {
+		t := s.task(j, work.TaskID{Job: j.ID, Occurrence: failed.Occurrence, Step: failed.Step, Index: failed.Index})
+		if t != nil && !t.done && !t.step.spec.LongRunning && t.failures >= j.queue.MaxAttempts {
+			return t
+		}
+	}
+	return nil
+}
+
+// knownLimit returns the number of failed runs that the job's queue allows a task, 0 if the queue isn't known.
+func (j *job) knownLimit() int {
+	if j.queue == nil {
+		return 0
+	}
+	return j.queue.MaxAttempts
+}
+
+// failureFields returns the fields of the line about a failed run.
+func (s *Scheduler) failureFields(t *task, w *workerState, run int64) event.Fields {
+	j := t.job()
+	return event.Fields{
+		"task": t.id().String(), "run": run, "worker": w.ID, "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"config": s.Config.VersionOrZero(), "earlier_epoch": run <= s.runBase,
+	}
+}
+
+// exhaustedFields returns the fields of the line about a job that fails because of the task.
+func (s *Scheduler) exhaustedFields(t *task) event.Fields {
+	j, earlier := t.job(), 0
+	for _, f := range j.failures {
+		if f.Step == t.step.index && f.Occurrence == t.step.occurrence.index && f.Index == t.index && f.Run <= s.runBase {
+			earlier++
+		}
+	}
+	return event.Fields{
+		"job": j.ID, "task": t.id().String(), "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"config": s.Config.VersionOrZero(), "earlier_epochs": earlier,
+	}
+}
--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -128,3 +128,34 @@
 		})
 	}
 }
+
+// Guards against a job that goes on although a task has failed as often as its queue allows: the limit wasn't known when the
+// last failed run was recorded.
+func TestAttemptsAreCheckedOnceQueueIsKnown(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.submitFailing(2)
+		b.onLoop(b.s.End)
+		b.startEpochWith(2, nil)
+		time.Sleep(time.Second)
+		b.failRuns(3)
+		starts := b.starts()
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, b.state() != work.Failed)
+		b.onLoop(func() { b.s.SetConfig(newConfig(1, "p")) })
+		time.Sleep(time.Second)
+		assert.Equal(t, b.state(), work.Failed)
+		assert.Equal(t, b.starts(), starts)
+	})
+}
+
+// Guards against a start after as many failed runs as a new version of the configuration allows.
+func TestAttemptsAreCheckedWhenLimitChanges(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.submitFailing(2)
+		config := newConfig(2, "p")
+		config.QueueByName("p").MaxAttempts = 2
+		b.onLoop(func() { b.s.SetConfig(config) })
+		time.Sleep(time.Second)
+		assert.Equal(t, b.state(), work.Failed)
+	})
+}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -258,6 +258,7 @@
 		}
 	}
 	s.checkJobDone(j)
+	s.checkAttempts(j)
 }
 
 // task returns the task with the ID, or nil if the job has no such task. It creates the occurrence's state if
@@ -376,6 +377,7 @@
 	delete(s.unrouted, j)
 	s.setPool(j, s.pool(j.queue.Pool))
 	j.touch()
+	s.checkAttempts(j)
 }
 
 func (s *Scheduler) setPool(j *job, p *pool) {
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -53,6 +53,7 @@
 			s.Log.WriteFunc(event.TaskFailed, func() event.Fields { return s.failureFields(t, w, end.Run) })
 			s.recordWorkerFailure(w, t)
 			s.markDirty(j)
+			s.checkAttempts(j)
 		}
 		return j, j.lastChange
 	}
@@ -84,8 +85,8 @@
 	}
 }
 
-// recordFailure records a failed run and fails the job if the task has used up its attempts; long-running tasks have no
-// limit. It returns false if the failure was known already.
+// recordFailure records a failed run and returns false if it was known already. Whether the job has run out of attempts is
+// decided by checkAttempts.
 func (s *Scheduler) recordFailure(t *task, failed work.FailedRun) bool {
 	j := t.job()
 	for _, known := range j.failures {
@@ -101,44 +102,5 @@
 	}
 	t.failedOn[failed.Instance]++
 	t.notBefore = s.Now() + failureBackoff*time.Duration(min(t.failures, maxFailureBackoffs))
-	limit := 1
-	if j.queue != nil {
-		limit = j.queue.MaxAttempts
-	}
-	if !t.step.spec.LongRunning && t.failures >= limit && j.open() && !t.done {
-		s.Log.WriteFunc(event.AttemptsExhausted, func() event.Fields { return s.exhaustedFields(t) })
-		s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
-	}
 	return true
 }
-
-// knownLimit returns the number of failed runs that the job's queue allows a task, 0 if the queue isn't known.
-func (j *job) knownLimit() int {
-	if j.queue == nil {
-		return 0
-	}
-	return j.queue.MaxAttempts
-}
-
-// failureFields returns the fields of the line about a failed run.
-func (s *Scheduler) failureFields(t *task, w *workerState, run int64) event.Fields {
-	j := t.job()
-	return event.Fields{
-		"task": t.id().String(), "run": run, "worker": w.ID, "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
-		"config": s.Config.VersionOrZero(), "earlier_epoch": run <= s.runBase,
-	}
-}
-
-// exhaustedFields returns the fields of the line about a job that fails because of the task.
-func (s *Scheduler) exhaustedFields(t *task) event.Fields {
-	j, earlier := t.job(), 0
-	for _, f := range j.failures {
-		if f.Step == t.step.index && f.Occurrence == t.step.occurrence.index && f.Index == t.index && f.Run <= s.runBase {
-			earlier++
-		}
-	}
-	return event.Fields{
-		"job": j.ID, "task": t.id().String(), "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
-		"config": s.Config.VersionOrZero(), "earlier_epochs": earlier,
-	}
-}
