The emulator lists the instances of a rack under its lock

go test ./entry/site ended once with "concurrent map read and map write" in Fleet.InRack, which read the instances without the lock. The order is the same.

--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -243,12 +243,15 @@
 
 // InRack returns the sorted IDs of the instances in a rack.
 func (f *Fleet) InRack(rack string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var ids []string
-	for _, id := range f.Instances() {
-		if f.instances[id].rack == rack {
+	for id, inst := range f.instances {
+		if inst.rack == rack {
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
