Accepted jobs go on under the terms of their acceptance

What callers could see: an accepted job that doesn't run, since the leader has no configuration, an older one or one without its queue, for example because the operator has removed the route. The queue then was in no pool, without a bound.

The entry stores the terms of the queue in the submission's row: the version of the configuration, the pool, the attempts, the objective and the timing of the policy. The newest of what is known counts: the leader's configuration, one that it had before, the terms. Without a configuration a task that has failed as often as its terms allow holds its job, undecided and without a start, because a later version may allow more attempts or fewer. The terms aren't part of the digest, so a repeat under a later version is the same job. Earlier versions ignore the field; a row without terms waits (queue_unknown) and nothing is decided.

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -116,6 +116,7 @@
 	}
 	job, err := platform.DecodeJob(id, q.Name, body)
 	if err == nil {
+		job.Terms = config.Terms(q)
 		err = s.submit(callCtx, job)
 	}
 	if err != nil {
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -18,6 +18,7 @@
 
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/work"
 )
 
@@ -336,6 +337,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		copied := *job
+		copied.Terms = e.terms(job.Queue)
 		err := e.site.submit(ctx, &copied)
 		cancel()
 		if err == nil && !e.killed.Load() {
@@ -346,6 +348,16 @@
 	return false
 }
 
+// terms returns the terms of the queue in the entry's configuration, nil if that lacks the queue.
+func (p *process) terms(name string) *queue.Terms {
+	config := p.site.config.Load()
+	q := config.QueueByName(name)
+	if q == nil {
+		return nil
+	}
+	return config.Terms(q)
+}
+
 func (p *dayRun) cancelJob(id string, seed uint64, end time.Time) {
 	for attempt := uint64(0); time.Now().Before(end); attempt++ {
 		e := p.pickEntry("", seed+attempt)
--- a/keel/ledger/encode_test.go
+++ b/keel/ledger/encode_test.go
@@ -1,11 +1,15 @@
 package ledger_test
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/ledger"
+	"samphirekeel.example/keel/queue"
+	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 )
 
@@ -30,3 +34,32 @@
 		assert.Equal(t, string(ledger.EncodeProgress(&progress)), string(ledger.Encode(ledger.JobRecord{Progress: &progress})))
 	}
 }
+
+// Guards against submissions that an entry of another version can't read, and against terms that make their rows much larger.
+func TestSubmissionWithTerms(t *testing.T) {
+	config := queue.NewConfig(123456, []*queue.Queue{{
+		Name: "q", Pool: "puxa400", MaxAttempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond,
+		Policy: &queue.PolicyTiming{BaseTime: 20 * time.Millisecond, TimePerWorker: time.Millisecond, TicketValidity: 20 * time.Second},
+	}}, nil, queue.Limits{})
+	job := work.Job{ID: jobID, Queue: "q", Digest: 7, Steps: []work.Step{{Count: 1}}}
+	without := ledger.Encode(job)
+	decoded, err := ledger.DecodeSubmission(table.Row{Value: without})
+	assert.NilError(t, err)
+	assert.Assert(t, decoded.Job.Terms == nil)
+	job.Terms = config.Terms(config.QueueByName("q"))
+	with := ledger.Encode(job)
+	t.Logf("%d bytes more", len(with)-len(without))
+	assert.Assert(t, len(with)-len(without) < 180)
+	decoded, err = ledger.DecodeSubmission(table.Row{Value: with})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded.Job.Terms, job.Terms)
+	// An earlier version has no field for the terms.
+	var earlier struct {
+		ID     string      `json:"id"`
+		Steps  []work.Step `json:"steps"`
+		Digest uint64      `json:"digest"`
+	}
+	assert.NilError(t, json.Unmarshal(with, &earlier))
+	assert.DeepEqual(t, earlier.Steps, job.Steps)
+	assert.Equal(t, earlier.Digest, job.Digest)
+}
--- a/keel/queue/config.go
+++ b/keel/queue/config.go
@@ -9,10 +9,10 @@
 // a step.
 type PolicyTiming struct {
 	// BaseTime is the response time of a query; TimePerWorker is added to it for each worker that the query names.
-	BaseTime      time.Duration
-	TimePerWorker time.Duration
+	BaseTime      time.Duration `json:"base"`
+	TimePerWorker time.Duration `json:"per_worker"`
 	// TicketValidity is how long a ticket is valid.
-	TicketValidity time.Duration
+	TicketValidity time.Duration `json:"validity"`
 }
 
 // Queue is one queue of jobs.
--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -6,7 +6,8 @@
 )
 
 // checkAttempts fails the job if a task has failed as often as the job's queue allows. It is called when a failed run is
-// recorded and when the queue becomes known or changes; while the queue isn't known, it decides nothing.
+// recorded and when the queue becomes known or changes. Without a queue it decides nothing. Without a configuration the limit
+// is only that of the job's acceptance, so the job is held until there is one.
 func (s *Scheduler) checkAttempts(j *job) {
 	if j.queue == nil || !j.open() {
 		return
@@ -15,6 +16,11 @@
 	if t == nil {
 		return
 	}
+	if s.Config == nil {
+		s.unrouted[j] = true
+		s.setPool(j, nil)
+		return
+	}
 	s.Log.WriteFunc(event.AttemptsExhausted, func() event.Fields { return s.exhaustedFields(t) })
 	s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
 }
--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -10,6 +10,7 @@
 
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/work"
 )
 
@@ -55,6 +56,13 @@
 	})
 }
 
+// submitWithTerms submits the first job under the terms of its queue in the configuration.
+func (b *testbed) submitWithTerms(config *queue.Config, duration time.Duration) {
+	job := singleStepJob(firstJob, "p", 1, duration)
+	job.Terms = config.Terms(config.QueueByName("p"))
+	b.submit(job, duration)
+}
+
 // failures returns the number of failed runs of the first job.
 func (b *testbed) failures() int {
 	n := 0
@@ -159,3 +167,48 @@
 		assert.Equal(t, b.state(), work.Failed)
 	})
 }
+
+// Guards against accepted jobs that wait for a configuration that has their queue, which there may never be again.
+func TestAcceptedJobRunsUnderItsTerms(t *testing.T) {
+	for name, config := range map[string]*queue.Config{"no configuration": nil, "queue removed": newConfig(3, "q"), "older configuration": newConfig(1, "q")} {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.startEpochWith(1, newConfig(1, "q"))
+				time.Sleep(500 * time.Millisecond)
+				b.onLoop(b.s.End)
+				b.submitWithTerms(newConfig(2, "p"), time.Second)
+				b.startEpochWith(2, config)
+				time.Sleep(4 * time.Second)
+				assert.Equal(t, b.state(), work.Completed)
+			})
+		})
+	}
+}
+
+// Guards against an outcome, or a start, by the terms of a job's acceptance while the leader has no configuration: a later
+// version may allow more attempts or fewer.
+func TestAttemptsUnderTermsWithoutConfiguration(t *testing.T) {
+	for attempts, want := range map[int]work.State{2: work.Failed, 5: work.Completed} {
+		withTestbed(t, func(b *testbed) {
+			b.addInstance("m1")
+			b.startEpochWith(1, newConfig(1, "p"))
+			time.Sleep(500 * time.Millisecond)
+			b.submitWithTerms(newConfig(1, "p"), 10*time.Second)
+			b.failRuns(2)
+			b.onLoop(b.s.End)
+			b.startEpochWith(2, nil)
+			time.Sleep(time.Second)
+			b.failRuns(3)
+			starts := b.starts()
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, b.state(), work.Running)
+			assert.Equal(t, b.starts(), starts)
+			config := newConfig(2, "p")
+			config.QueueByName("p").MaxAttempts = attempts
+			b.onLoop(func() { b.s.SetConfig(config) })
+			time.Sleep(40 * time.Second)
+			assert.Equal(t, b.state(), want)
+		})
+	}
+}
--- a/keel/schedule/cleanup.go
+++ b/keel/schedule/cleanup.go
@@ -130,7 +130,7 @@
 			for _, j := range jobs {
 				j.stubbed = true
 				// Only the state of the ended job is queried from now on.
-				j.occurrences, j.Steps, j.Spec = nil, nil, ""
+				j.occurrences, j.Steps, j.Spec, j.Terms = nil, nil, "", nil
 			}
 		})
 }
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -14,7 +14,7 @@
 // job is the state of an open job, or the outcome of an ended one.
 type job struct {
 	*work.Job
-	// queue is nil if the current configuration does not contain the job's queue.
+	// queue is nil if the job's queue isn't known.
 	queue *queue.Queue
 	pool  *pool
 	// version is the version of the submission's row.
@@ -366,12 +366,20 @@
 	}
 }
 
-// route assigns the job to its queue and pool in the current configuration.
+// route assigns the job to its queue and pool, those of the newest configuration with the queue that is known: the current
+// one, one that this leader has seen before, or the one under which the job was accepted.
 func (s *Scheduler) route(j *job) {
-	j.queue = s.Config.QueueByName(j.Queue)
+	q := s.Config.QueueByName(j.Queue)
+	switch {
+	case j.Terms != nil && j.Terms.Version > s.Config.VersionOrZero():
+		j.queue = j.Terms.Queue(j.Queue)
+	case q != nil:
+		j.queue = q
+	case j.queue == nil && j.Terms != nil:
+		j.queue = j.Terms.Queue(j.Queue)
+	}
 	if j.queue == nil {
 		s.unrouted[j] = true
-		s.setPool(j, nil)
 		return
 	}
 	delete(s.unrouted, j)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -60,7 +60,8 @@
 	timed map[*job]bool
 	// pending counts the open jobs of which no task has started, by queue.
 	pending map[string]int
-	// unrouted holds the open jobs whose queue the configuration doesn't contain.
+	// unrouted holds the open jobs that wait for a configuration: their queue isn't known, or a task has failed as often as
+	// the terms of their acceptance allow.
 	unrouted map[*job]bool
 	// leaseInvalid is set if the last lease check failed.
 	leaseInvalid bool
--- a/keel/work/job.go
+++ b/keel/work/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/queue"
 )
 
 // Size is an amount of resources: what a task needs or a worker provides.
@@ -84,6 +85,8 @@
 	// Home is the data centre whose workers run the job's tasks, in addition to those in Progress.RemoteDataCentres;
 	// empty for a job whose tasks may run in any data centre.
 	Home string `json:"home,omitempty"`
+	// Terms are the terms under which the job was accepted, nil in rows of earlier versions; they aren't part of Digest.
+	Terms *queue.Terms `json:"terms,omitempty"`
 	// Digest is a hash of the submission, which distinguishes a repeat from another job with the same ID.
 	Digest uint64 `json:"digest"`
 }
