A response of the policy after its removal doesn't end the leader

What callers saw: nothing so far; read while looking for uses of a queue that isn't known. A version of the configuration that removes a queue's policy makes ensureTickets forget the step's tickets, and a response to a request in flight was then stored in a nil map: the leader ended with a panic. Such a response is dropped now. The check for a job without a queue in ensureTickets is gone: such a job is in no pool, and "no policy" isn't what an unknown queue means.

TestPolicyRemovedDuringTicketRequest failed before with "panic: assignment to entry in nil map".

--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
 )
 
 // lastLine returns the fields of the last line with the name, nil if there is none.
@@ -186,6 +188,29 @@
 	}
 }
 
+// Guards against a leader that ends with a panic: a version of the configuration removes the policy of a queue while a request
+// for tickets is in flight.
+func TestPolicyRemovedDuringTicketRequest(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		b.onLoop(func() {
+			b.issueTickets()
+			inner := b.s.Policy.RequestTickets
+			b.s.Policy.RequestTickets = func(ctx context.Context, step string, workers []string, timeout time.Duration) ([]worker.Ticket, error) {
+				time.Sleep(300 * time.Millisecond)
+				return inner(ctx, step, workers, timeout)
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
+		time.Sleep(100 * time.Millisecond)
+		b.onLoop(func() { b.s.SetConfig(newConfig(2, "p")) })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
+
 // Guards against an outcome, or a start, by the terms of a job's acceptance while the leader has no configuration: a later
 // version may allow more attempts or fewer.
 func TestAttemptsUnderTermsWithoutConfiguration(t *testing.T) {
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -51,7 +51,7 @@
 // its constraints permit. It requests further tickets if there are fewer such workers than waiting tasks.
 func (s *Scheduler) ensureTickets(step *stepState, pl *planner) bool {
 	q := step.occurrence.job.queue
-	if q == nil || q.Policy == nil || s.Policy == nil {
+	if q.Policy == nil || s.Policy == nil {
 		step.tickets.byWorker = nil
 		return true
 	}
@@ -105,6 +105,10 @@
 				s.Log.Write(event.TaskRefused, event.Fields{"task": name, "run": 0, "worker": "", "reason": "ticket request failed: " + err.Error()})
 				return
 			}
+			if st.byWorker == nil {
+				// A new version of the configuration has no policy for the queue.
+				return
+			}
 			expires := s.Now() + time.Duration(float64(policy.TicketValidity)*(1-ticketValidityMargin))
 			for _, t := range tickets {
 				st.byWorker[t.Worker] = cachedTicket{ticket: t.Ticket, expires: expires}
