The failed runs of a gang are counted together

What callers could see: a gang that starts again after it has failed as often as its queue allows. The protocol shows a job as failed when a task, or a gang, has failed that often. Each member's failures were counted by themselves, so a gang that fails by another member each time was started up to members x (attempts - 1) + 1 times. Now the failed runs of a gang count, however many members failed in each.

TestFailedRunsOfGangAreCountedTogether failed before with "queued != failed". TestFailedRunsOfTaskAreCountedOnce passed before: a failed run that is listed again counts once, and tasks of other steps are counted by themselves.

--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -30,13 +30,28 @@
 func (s *Scheduler) exhaustedTask(j *job) *task {
 	for _, failed := range j.failures {
 		t := s.task(j, work.TaskID{Job: j.ID, Occurrence: failed.Occurrence, Step: failed.Step, Index: failed.Index})
-		if t != nil && !t.done && !t.step.spec.LongRunning && t.failures >= j.queue.MaxAttempts {
+		if t != nil && !t.done && !t.step.spec.LongRunning && t.failedRuns() >= j.queue.MaxAttempts {
 			return t
 		}
 	}
 	return nil
 }
 
+// failedRuns returns the number of the task's failed runs, those of the whole gang for a member of a gang. Several members
+// that fail in one run of the gang count once.
+func (t *task) failedRuns() int {
+	if !t.step.spec.Gang {
+		return t.failures
+	}
+	numbers := make(map[int64]bool)
+	for _, failed := range t.job().failures {
+		if failed.Step == t.step.index && failed.Occurrence == t.step.occurrence.index {
+			numbers[failed.Run] = true
+		}
+	}
+	return len(numbers)
+}
+
 // knownLimit returns the number of failed runs that the job's queue allows a task, 0 if the queue isn't known.
 func (j *job) knownLimit() int {
 	if j.queue == nil {
@@ -49,7 +64,7 @@
 func (s *Scheduler) failureFields(t *task, w *workerState, run int64) event.Fields {
 	j := t.job()
 	return event.Fields{
-		"task": t.id().String(), "run": run, "worker": w.ID, "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"task": t.id().String(), "run": run, "worker": w.ID, "failures": t.failedRuns(), "limit": j.knownLimit(), "queue": j.Queue,
 		"config": s.Config.VersionOrZero(), "earlier_epoch": run <= s.runBase,
 	}
 }
@@ -58,12 +73,13 @@
 func (s *Scheduler) exhaustedFields(t *task) event.Fields {
 	j, earlier := t.job(), 0
 	for _, f := range j.failures {
-		if f.Step == t.step.index && f.Occurrence == t.step.occurrence.index && f.Index == t.index && f.Run <= s.runBase {
+		sameTask := f.Index == t.index || t.step.spec.Gang
+		if f.Step == t.step.index && f.Occurrence == t.step.occurrence.index && sameTask && f.Run <= s.runBase {
 			earlier++
 		}
 	}
 	return event.Fields{
-		"job": j.ID, "task": t.id().String(), "failures": t.failures, "limit": j.knownLimit(), "queue": j.Queue,
+		"job": j.ID, "task": t.id().String(), "failures": t.failedRuns(), "limit": j.knownLimit(), "queue": j.Queue,
 		"config": s.Config.VersionOrZero(), "earlier_epochs": earlier,
 	}
 }
--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -188,6 +188,52 @@
 	}
 }
 
+// failMembers records failed runs of the first job's tasks, given by the run's number and the task's index.
+func (b *testbed) failMembers(failed ...[2]int) {
+	b.onLoop(func() {
+		j := b.s.jobs[firstJob]
+		for _, f := range failed {
+			t := b.s.occurrence(j, 0).steps[0].tasks[f[1]]
+			b.s.recordFailure(t, work.FailedRun{Run: int64(f[0]), Index: f[1], Instance: "m1"})
+		}
+		b.s.checkAttempts(j)
+	})
+}
+
+// Guards against a gang that starts again although it has failed as often as its queue allows, each time by another member,
+// and against a gang that fails early because several members failed in one run.
+func TestFailedRunsOfGangAreCountedTogether(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 3, time.Second)
+		job.Steps[0].Gang = true
+		b.submit(job, time.Second)
+		b.failMembers([2]int{1, 0}, [2]int{1, 1}, [2]int{1, 2}, [2]int{1, 0}, [2]int{2, 1})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Queued)
+		b.failMembers([2]int{3, 2})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Failed)
+	})
+}
+
+// Guards against tasks of a step that isn't a gang being counted together, and against one failed run that counts twice
+// because it is listed again or recorded in two partitions.
+func TestFailedRunsOfTaskAreCountedOnce(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 3, time.Second), time.Second)
+		b.failMembers([2]int{1, 0}, [2]int{1, 1}, [2]int{2, 2}, [2]int{1, 0}, [2]int{1, 0}, [2]int{2, 0})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Queued)
+		b.failMembers([2]int{3, 0})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, b.state(), work.Failed)
+	})
+}
+
 // Guards against a leader that ends with a panic: a version of the configuration removes the policy of a queue while a request
 // for tickets is in flight.
 func TestPolicyRemovedDuringTicketRequest(t *testing.T) {
