Tests of what counts as a failed run

A missing or unknown way in which a run ended, an end of a task that is done, and one run that two partitions record, with and without its instance, are no failed runs of the task.

--- a/keel/schedule/attempts_test.go
+++ b/keel/schedule/attempts_test.go
@@ -234,6 +234,34 @@
 	})
 }
 
+// Guards against a job that fails by ends that aren't failures of its task: one without a known kind, one of a task that is
+// done, and the record of one run in two partitions, of which one lacks the instance.
+func TestOnlyFailedRunsOfOpenTasksCount(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 2, 8*time.Second), 8*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		b.onLoop(func() {
+			j := b.s.jobs[firstJob]
+			w := b.s.workers[b.s.workerOf["m1"].ID]
+			id := work.TaskID{Job: firstJob}
+			for i, kind := range []worker.EndKind{"", "other", worker.Stopped, worker.LeaseExpired, worker.GangBroken, worker.GangIncomplete} {
+				b.s.applyOpenJobEnd(w, b.s.task(j, id), worker.End{Task: id, Run: int64(i) - 100, Kind: kind}, nil)
+			}
+			assert.Equal(t, len(j.failures), 0)
+			b.s.markTaskDone(b.s.task(j, work.TaskID{Job: firstJob, Index: 1}))
+			progress := work.Progress{Failures: []work.FailedRun{{Run: -1}, {Run: -2}, {Index: 1, Run: -1}, {Index: 1, Run: -2}, {Index: 1, Run: -3}}}
+			progress = progress.Merge(work.Progress{Failures: []work.FailedRun{{Run: -1, Instance: "m1"}, {Run: -2}}})
+			b.s.restore(j, &progress)
+			assert.Assert(t, j.open())
+			b.s.restore(j, &work.Progress{Failures: []work.FailedRun{{Run: -3}}})
+			assert.Equal(t, j.outcome.State, work.Failed)
+		})
+	})
+}
+
 // Guards against a leader that ends with a panic: a version of the configuration removes the policy of a queue while a request
 // for tickets is in flight.
 func TestPolicyRemovedDuringTicketRequest(t *testing.T) {
