--- a/keel/queue/config.go
+++ b/keel/queue/config.go
@@ -9,10 +9,10 @@
 // a step.
 type PolicyTiming struct {
 	// BaseTime is the response time of a query; TimePerWorker is added to it for each worker that the query names.
-	BaseTime      time.Duration
-	TimePerWorker time.Duration
+	BaseTime      time.Duration `json:"base"`
+	TimePerWorker time.Duration `json:"per_worker"`
 	// TicketValidity is how long a ticket is valid.
-	TicketValidity time.Duration
+	TicketValidity time.Duration `json:"validity"`
 }
 
 // Queue is one queue of jobs.
@@ -83,6 +83,14 @@
 	return c
 }
 
+// VersionOrZero returns the version, 0 if there is no configuration.
+func (c *Config) VersionOrZero() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
 // QueueByName returns the queue with the name, or nil.
 func (c *Config) QueueByName(name string) *Queue {
 	if c == nil {
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -50,8 +50,10 @@
 	case worker.Failed:
 		failed := work.FailedRun{Step: end.Task.Step, Occurrence: end.Task.Occurrence, Index: end.Task.Index, Run: end.Run, Instance: w.Instance}
 		if s.recordFailure(t, failed) {
+			s.Log.WriteFunc(event.TaskFailed, func() event.Fields { return s.failureFields(t, w, end.Run) })
 			s.recordWorkerFailure(w, t)
 			s.markDirty(j)
+			s.checkAttempts(j)
 		}
 		return j, j.lastChange
 	}
@@ -83,8 +85,8 @@
 	}
 }
 
-// recordFailure records a failed run and fails the job if the task has used up its attempts; long-running tasks have no
-// limit. It returns false if the failure was known already.
+// recordFailure records a failed run and returns false if it was known already. Whether the job has run out of attempts is
+// decided by checkAttempts.
 func (s *Scheduler) recordFailure(t *task, failed work.FailedRun) bool {
 	j := t.job()
 	for _, known := range j.failures {
@@ -100,12 +102,5 @@
 	}
 	t.failedOn[failed.Instance]++
 	t.notBefore = s.Now() + failureBackoff*time.Duration(min(t.failures, maxFailureBackoffs))
-	limit := 1
-	if j.queue != nil {
-		limit = j.queue.MaxAttempts
-	}
-	if !t.step.spec.LongRunning && t.failures >= limit && j.open() && !t.done {
-		s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
-	}
 	return true
 }
