No 404 from an entry whose configuration may be out of date

Seen by callers: a request for a queue that a new version of the configuration has was answered 404, "no queue", for as long as the entry could read the configuration neither from the store nor from the leader. 404 is final for a caller.

Cause: a queue that the applied configuration lacks was taken for one that doesn't exist, whatever the age of that configuration. The rows that the leader returns didn't say how old they are, and a newest version that can't be decoded left the one before in force without a mark.

An entry now records when its configuration was last known to be the newest: when a poll of the operator's table succeeded and its rows were applied (the follower reports the success after the rows), or by the leader's word, less the age of the leader's own knowledge. A leader of an earlier build doesn't state that age, which counts as not known. After 2 s without that, the bound of the strictest deployment, the answer is 503 with Retry-After; while it is known, 404 at once as before. A dropped queue stays refused in both.

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -50,6 +50,8 @@
 	if s.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
+	// The check is read before the configuration, which may be replaced by a newer one in between.
+	current := s.configCurrent()
 	config := s.config.Load()
 	if config == nil {
 		writeError(ctx, fault.New(fault.NotReady, "no configuration loaded yet on this entry").WithRetryAfter(retryAfter))
@@ -58,7 +60,7 @@
 	path := string(ctx.Path())
 	q := config.QueueForRequest(string(ctx.Host()), path)
 	if q == nil {
-		writeError(ctx, fault.New(fault.UnknownService, "no queue at %s%s", ctx.Host(), path))
+		writeError(ctx, unknownQueue(string(ctx.Host()), path, current))
 		return callOther
 	}
 	id := strings.TrimPrefix(path, q.Prefix)
@@ -92,6 +94,15 @@
 	return callOther
 }
 
+// unknownQueue returns the error for a request that no queue of the configuration serves. That there is none is known
+// only if the configuration is current.
+func unknownQueue(host, path string, current bool) error {
+	if !current {
+		return fault.New(fault.NotReady, "no queue known at %s%s, and the configuration of this entry may be out of date", host, path).WithRetryAfter(retryAfter)
+	}
+	return fault.New(fault.UnknownService, "no queue at %s%s", host, path)
+}
+
 // writeError writes an error response.
 func writeError(ctx *fasthttp.RequestCtx, err error) {
 	failure := fault.As(err)
--- a/entry/site/operator.go
+++ b/entry/site/operator.go
@@ -15,22 +15,47 @@
 	ctx := s.loop.Context()
 	f := &table.Follower{
 		Store: s.Store, Table: s.Codec.OperatorTable, Partitions: []string{""},
-		OnRows:    func(rows []table.Row, _ bool) { s.loop.Post(ctx, func() { s.applyOperatorRows(rows) }) },
-		OnError:   func(err error) { s.loop.Post(ctx, func() { s.recordStoreFailure(err) }) },
-		OnSuccess: s.recordStoreResponse,
+		OnRows:  func(rows []table.Row, _ bool) { s.loop.Post(ctx, func() { s.applyOperatorRows(rows) }) },
+		OnError: func(err error) { s.loop.Post(ctx, func() { s.recordStoreFailure(err) }) },
+		OnSuccess: func() {
+			s.recordStoreResponse()
+			at := s.Now()
+			s.loop.Post(ctx, func() { s.recordConfigCheck(at) })
+		},
 	}
 	go f.Run(ctx)
 	s.loop.Every(operatorPollInterval, s.fetchOperatorRows)
 }
 
-// operatorPollInterval is the interval of requests to the leader for the operator's rows while the store is
-// unavailable. Together with the leader's own delay it applies a new configuration within the 2 s of the strictest
-// deployment.
-const operatorPollInterval = 400 * time.Millisecond
+const (
+	// operatorPollInterval is the interval of requests to the leader for the operator's rows while the store is
+	// unavailable. Together with the leader's own delay it applies a new configuration within the 2 s of the strictest
+	// deployment.
+	operatorPollInterval = 400 * time.Millisecond
+	// maxConfigAge is the time within which a configuration is in force on the strictest deployment. An entry that has not
+	// checked for a newer one for so long may lack one that is in force elsewhere.
+	maxConfigAge = 2 * time.Second
+)
 
 // operatorRowsResponse holds the operator's rows that an entry has read.
 type operatorRowsResponse struct {
 	Rows []table.Row `json:"rows"`
+	// AgeMillis is the time since the entry last knew the rows to be current, nil if it doesn't know that.
+	AgeMillis *int64 `json:"age_ms,omitempty"`
+}
+
+// recordConfigCheck records that no configuration newer than the applied one was stored at the given time; it is called on
+// the loop.
+func (s *Entry) recordConfigCheck(at time.Duration) {
+	if !s.configUnreadable && int64(at) > s.configCheckedAt.Load() {
+		s.configCheckedAt.Store(int64(at))
+	}
+}
+
+// configCurrent reports whether the applied configuration is known to be the one in force.
+func (s *Entry) configCurrent() bool {
+	checkedAt := s.configCheckedAt.Load()
+	return checkedAt != 0 && s.Now()-time.Duration(checkedAt) < maxConfigAge
 }
 
 // fetchOperatorRows requests the configuration and the waves from the leader while the store is unavailable to this
@@ -40,6 +65,7 @@
 	if !s.storeUnavailable.Load() || record.Holder == "" || record.Holder == s.Settings.Name {
 		return
 	}
+	sent := s.Now()
 	control.Call(s.loop, notifyTimeout, func(ctx context.Context) (operatorRowsResponse, error) {
 		var response operatorRowsResponse
 		err := s.node.Call(ctx, record.Address, methodOperator, query{}, &response)
@@ -48,6 +74,9 @@
 		if err == nil {
 			s.applyOperatorRows(response.Rows)
 			s.lastLeaderResponse.Store(int64(s.Now()))
+			if response.AgeMillis != nil {
+				s.recordConfigCheck(sent - time.Duration(*response.AgeMillis)*time.Millisecond)
+			}
 		}
 	})
 }
@@ -59,6 +88,11 @@
 		for _, row := range s.operatorRows {
 			response.Rows = append(response.Rows, row)
 		}
+		checkedAt := s.configCheckedAt.Load()
+		if checkedAt != 0 {
+			age := (s.Now() - time.Duration(checkedAt)).Milliseconds()
+			response.AgeMillis = &age
+		}
 		return response
 	})
 }
@@ -100,6 +134,7 @@
 // applyConfig applies a configuration that is newer than the current one.
 func (s *Entry) applyConfig(row table.Row) {
 	config, err := s.Codec.DecodeConfig(row)
+	s.configUnreadable = err != nil
 	if err != nil {
 		s.logUnreadableRow(row, err)
 		return
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -112,8 +112,12 @@
 	// operatorRows holds the newest known version of each row of the operator, by name.
 	operatorRows map[string]table.Row
 
-	config   atomic.Pointer[queue.Config]
-	stopping atomic.Bool
+	config atomic.Pointer[queue.Config]
+	// configCheckedAt is the latest time at which config is known to have been the newest one, in nanoseconds of Now, 0 if
+	// it never was. configUnreadable is set while the newest one can't be decoded.
+	configCheckedAt  atomic.Int64
+	configUnreadable bool
+	stopping         atomic.Bool
 	// lastReady is the readiness that was last reported to the load balancer.
 	lastReady atomic.Bool
 	// leading is 1 while this entry places tasks.
--- a/keel/table/follower.go
+++ b/keel/table/follower.go
@@ -35,7 +35,7 @@
 	// OnRows is called with the changed rows, or with all rows of one partition if whole is set.
 	OnRows func(rows []Row, whole bool)
 	// OnError is called after each failed read or poll, and OnSuccess after each successful one once all partitions are
-	// read. All three callbacks are called on the goroutine of Run.
+	// read, when its rows were delivered. All three callbacks are called on the goroutine of Run.
 	OnError   func(error)
 	OnSuccess func()
 }
@@ -62,12 +62,12 @@
 			}
 			continue
 		}
-		if r.unread == 0 {
-			f.OnSuccess()
-		}
 		if len(rows) > 0 {
 			f.OnRows(rows, false)
 		}
+		if r.unread == 0 {
+			f.OnSuccess()
+		}
 		delay = f.PollInterval
 	}
 	r.cancel()
@@ -166,10 +166,10 @@
 	}
 	r.begun = true
 	r.unread--
+	f.OnRows(result.page.Rows, true)
 	if r.unread == 0 {
 		f.OnSuccess()
 	}
-	f.OnRows(result.page.Rows, true)
 }
 
 // poll returns the rows that have changed after the round's version.
