No 413 by a limit that may be out of date

Seen by callers, or to be: a submission answered 413, which is final, by the limit of a configuration that a newer version may have replaced. Cause: as for the 404 of an unknown queue, the age of the applied configuration wasn't asked for. The answer is 503 with Retry-After until the configuration is known to be in force.

Evidence: TestLimitKnownToStaleEntry failed before with "413 != 503".

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -80,7 +80,7 @@
 	case !work.ValidID(id):
 		writeError(ctx, fault.New(fault.BadRequest, "%q is not a job's ID of 16 hexadecimal digits", id))
 	case ctx.IsPost():
-		s.serveSubmit(callCtx, ctx, config, q, id)
+		s.serveSubmit(callCtx, ctx, checkedConfig{config, current}, q, id)
 		return callSubmit
 	case ctx.IsGet():
 		s.serveState(callCtx, ctx, id)
@@ -119,10 +119,30 @@
 	writeError(ctx, fault.Wrap(fault.BadRequest, err, "malformed request"))
 }
 
-func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config *queue.Config, q *queue.Queue, id string) {
+// checkedConfig is the applied configuration; current reports whether it is known to be the one in force.
+type checkedConfig struct {
+	*queue.Config
+	current bool
+}
+
+// checkBody fails if the body of a submission exceeds the limit, with kind TooLarge only if that limit is known to be in
+// force.
+func (c checkedConfig) checkBody(body []byte) error {
+	limit := c.Limits.BodyBytes
+	switch {
+	case limit <= 0 || len(body) <= limit:
+		return nil
+	case !c.current:
+		return fault.New(fault.NotReady, "submission of %d bytes over the last known limit of %d, which may be out of date", len(body), limit).WithRetryAfter(retryAfter)
+	}
+	return fault.New(fault.TooLarge, "submission too large: %d bytes, limit %d", len(body), limit)
+}
+
+func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config checkedConfig, q *queue.Queue, id string) {
 	body := ctx.PostBody()
-	if config.Limits.BodyBytes > 0 && len(body) > config.Limits.BodyBytes {
-		s.rejectSubmission(ctx, id, fault.New(fault.TooLarge, "submission too large: %d bytes, limit %d", len(body), config.Limits.BodyBytes))
+	err := config.checkBody(body)
+	if err != nil {
+		s.rejectSubmission(ctx, id, err)
 		return
 	}
 	job, err := platform.DecodeJob(id, q.Name, body)
--- a/entry/site/unknown_test.go
+++ b/entry/site/unknown_test.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/emulator"
+	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
 )
 
@@ -102,3 +105,23 @@
 		assert.Equal(t, status, fasthttp.StatusOK)
 	})
 }
+
+// Guards against a final 413 by a limit that may have been raised since the entry could last read the configuration.
+func TestLimitKnownToStaleEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &dayRun{testCluster: newTestCluster(t, 1), day: partitionedDay()}
+		defer p.shutdown()
+		p.build()
+		time.Sleep(5 * time.Second)
+		site := p.entry("b-1").site
+		known := site.config.Load()
+		site.config.Store(queue.NewConfig(known.Version, known.Queues, slices.Collect(maps.Values(known.Pools)), queue.Limits{BodyBytes: 10}))
+		status, _ := p.request("b-1", fasthttp.MethodPost, "q-p.example", "/q-p/"+jobID(1), `{"spec":"too long"}`)
+		assert.Equal(t, status, fasthttp.StatusRequestEntityTooLarge)
+		defer p.partition()()
+		time.Sleep(3 * time.Second)
+		status, retry := p.request("b-1", fasthttp.MethodPost, "q-p.example", "/q-p/"+jobID(1), `{"spec":"too long"}`)
+		assert.Equal(t, status, fasthttp.StatusServiceUnavailable)
+		assert.Assert(t, retry)
+	})
+}
