A forwarded job is accepted only with a version

Cause, read and not seen: a leader's response without a failure was taken for an acceptance even if it had no version, as an empty response has, for example of another build. The caller would get 2xx for a job that may never have been stored. Such a response now leaves the outcome unknown, so the entry tries again and otherwise answers 504.

Evidence: TestForwardedJobWithoutVersionIsNotAccepted; before, the decision was inline in forwardJob and returned version 0 without an error.

--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -100,12 +100,21 @@
 	if err != nil {
 		return 0, fault.Wrap(fault.PlatformUnavailable, err, "forward job to the leader").WithOutcome(fault.As(err).Outcome())
 	}
-	if response.Kind == "" {
-		return response.Version, nil
+	return response.result()
+}
+
+// result returns the version of the stored job, or the failure. A response with neither leaves the outcome unknown.
+func (r acceptResponse) result() (uint64, error) {
+	if r.Kind == "" && r.Version != 0 {
+		return r.Version, nil
+	}
+	if r.Kind == "" {
+		return 0, fault.New(fault.PlatformUnavailable, "the leader states neither a version nor a failure").WithOutcome(fault.Unknown)
 	}
-	kind, _ := fault.KindByName(response.Kind)
-	failure := fault.New(kind, "the leader: %s", response.Text)
-	if response.NotStored {
+	// An unknown kind, of another build, counts as Internal.
+	kind, _ := fault.KindByName(r.Kind)
+	failure := fault.New(kind, "the leader: %s", r.Text)
+	if r.NotStored {
 		return 0, failure.WithOutcome(fault.NotRun)
 	}
 	return 0, failure.WithOutcome(fault.Unknown)
--- a/entry/site/unknown_test.go
+++ b/entry/site/unknown_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/emulator"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
 )
@@ -125,3 +126,14 @@
 		assert.Assert(t, retry)
 	})
 }
+
+// Guards against taking a leader's response without a version, which shows nothing of a forwarded job, for an acceptance.
+func TestForwardedJobWithoutVersionIsNotAccepted(t *testing.T) {
+	_, err := acceptResponse{}.result()
+	assert.Equal(t, fault.As(err).Outcome(), fault.Unknown)
+	version, err := acceptResponse{Version: 7}.result()
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(7))
+	_, err = acceptResponse{Kind: "a kind of a later build", NotStored: true}.result()
+	assert.Equal(t, fault.As(err).Outcome(), fault.NotRun)
+}
