The state of a job whose submission can't be decoded isn't known

Cause, read and not seen: Find dropped the error of a submission that it couldn't decode and returned queued, and Cancel stored a request for such a job, although it may have ended. Both now fail, so callers get 503 with Retry-After.

Evidence: TestFindUnreadableJob failed before for the submission ("false: jobs: <nil>"); an unreadable record was an error already.

--- a/keel/ledger/find_test.go
+++ b/keel/ledger/find_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/emulator"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
@@ -38,3 +39,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, state, work.Completed)
 }
+
+// Guards against a state of a job one of whose rows can't be decoded, for example one of a later build: the job may have
+// ended.
+func TestFindUnreadableJob(t *testing.T) {
+	submission := table.Write{Key: ledger.SubmissionKey(jobID), Value: ledger.Encode(work.Job{ID: jobID})}
+	for _, unreadable := range []table.Key{ledger.SubmissionKey(jobID), ledger.InPartition("ledger1", ledger.JobRecordKey(jobID))} {
+		store := emulator.NewStore(rand.New(rand.NewPCG(1, 1)))
+		store.Put(submission, table.Write{Key: unreadable, Value: []byte("later")})
+		jobs := &ledger.JobStore{Store: store.Client("entry")}
+		_, err := jobs.Find(context.Background(), jobID)
+		assert.Assert(t, fault.IsKind(err, fault.Internal), "%s: %v", unreadable.Table, err)
+		err = jobs.Cancel(context.Background(), jobID)
+		assert.Assert(t, fault.IsKind(err, fault.Internal), "%s: %v", unreadable.Table, err)
+	}
+}
--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -196,7 +196,10 @@
 		return "", fault.New(fault.NotExist, "job %s", id)
 	}
 	submission, err := DecodeSubmission(row)
-	if err == nil && submission.Ended {
+	if err != nil {
+		return "", err
+	}
+	if submission.Ended {
 		return s.findEnded(ctx, id)
 	}
 	cancelled, err := s.cancelled(ctx, id)
