A job with an unreadable row isn't run from the beginning

Cause, read and not seen: at a takeover, a job whose record can't be decoded was taken for one without a record: nothing done, no failed run, no outcome. Its tasks ran again, also those of a completed job, and the next write replaced the unreadable record. It takes a row of a later build, as while a new version is rolled out or taken back.

The leader now neither runs, changes nor shows such a job, also when an entry announces it, until a build that can decode the row leads; an outcome in another partition's row still counts, since it is final. Its runs are stopped as those of unknown jobs are, and their ends are acknowledged: a task that ends meanwhile runs again (open, docs/design/0083).

Evidence: TestJobWithUnreadableRecordIsHeld failed before, "10 != 2" starts.

--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -166,7 +166,7 @@
 
 // addSubmission adds a submitted job with what the ledger holds of it.
 func (s *Scheduler) addSubmission(submission ledger.Submission, record ledger.JobRecord, source string) {
-	if s.jobs[submission.Job.ID] != nil {
+	if s.jobs[submission.Job.ID] != nil || s.unreadable[submission.Job.ID] && record.Outcome == nil {
 		return
 	}
 	j := &job{Job: submission.Job, version: submission.Version, inherited: submission.Version < s.minGuard}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -66,8 +66,11 @@
 	leaseInvalid bool
 	// pendingCancels holds the jobs whose cancel was read before their submission.
 	pendingCancels map[string]bool
-	pools          map[string]*pool
-	workers        map[string]*workerState
+	// unreadable holds the jobs with a row that can't be decoded, for example of a later build. What has been done of them
+	// isn't known, so they are neither run nor changed nor shown by this leader.
+	unreadable map[string]bool
+	pools      map[string]*pool
+	workers    map[string]*workerState
 	// registrations holds the registrations in the store by worker, those of removed workers included.
 	registrations map[string]storedRegistration
 	// lateStarts holds, by worker and task, runs that were removed although their start order may still be carried out.
@@ -134,6 +137,7 @@
 	s.unrouted = make(map[*job]bool)
 	s.pending = make(map[string]int)
 	s.pendingCancels = make(map[string]bool)
+	s.unreadable = make(map[string]bool)
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -85,6 +85,9 @@
 func (s *Scheduler) takeOver(contents snapshot) {
 	for _, bad := range contents.ledger.Unreadable {
 		s.Log.Write(event.RowUnreadable, event.Fields{"table": bad.Table, "key": bad.Name, "version": bad.Version, "reason": bad.Reason})
+		if bad.Table == ledger.JobRecords || bad.Table == ledger.Submissions {
+			s.unreadable[bad.Name] = true
+		}
 	}
 	s.storeClock.observe(contents.registrations.Now, s.began)
 	s.loadRoster(contents)
--- /dev/null
+++ b/keel/schedule/unreadable_test.go
@@ -0,0 +1,48 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/ledger"
+	"samphirekeel.example/keel/table"
+	"samphirekeel.example/keel/work"
+)
+
+// Guards against running a job again whose stored progress or outcome can't be decoded, for example because a later build
+// has written it: what is unknown of it was taken for nothing done, and a new record replaced the unreadable one.
+func TestJobWithUnreadableRecordIsHeld(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		b.onLoop(b.s.End)
+		record := ledger.InPartition("ledger0", ledger.JobRecordKey(firstJob))
+		b.store.Put(table.Write{Key: record, Value: []byte(`{"outcome":"later"}`)})
+		// The stub was not written yet, and an entry announces the job again.
+		job := singleStepJob(firstJob, "p", 1, 100*time.Millisecond)
+		b.store.Put(table.Write{Key: ledger.SubmissionKey(firstJob), Value: ledger.Encode(job)})
+		b.startEpoch(2, "p")
+		time.Sleep(2 * time.Second)
+		b.onLoop(func() { b.s.AddJob(job, 1) })
+		const other = "00000000000000b2"
+		b.submit(singleStepJob(other, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, b.starts(), 2)
+		b.onLoop(func() {
+			_, known := b.s.State(firstJob)
+			assert.Assert(t, !known)
+			assert.Assert(t, !b.s.Cancel(firstJob, func() {}))
+			state, _ := b.s.State(other)
+			assert.Equal(t, state, work.Completed)
+		})
+		row, ok := b.store.Get(record)
+		assert.Assert(t, ok)
+		assert.Equal(t, string(row.Value), `{"outcome":"later"}`)
+	})
+}
