A worker with an unreadable roster row may run tasks

Cause, read and not seen: at a takeover, a worker whose roster row can't be decoded, for example one of a later build, was left out of the workers that may run tasks of earlier epochs. If the new leader couldn't reach it, its tasks started elsewhere at once, beside their runs.

Such a worker now counts as one that may run tasks of any job, as if its data centre were unknown, until it has accepted the epoch or for the longest lease.

--- a/keel/ledger/load.go
+++ b/keel/ledger/load.go
@@ -95,9 +95,22 @@
 			}
 		}
 	}
+	c.keepUnreadableWorkers()
 	return c, nil
 }
 
+// keepUnreadableWorkers keeps the workers with a roster row that can't be decoded as ones that may run tasks, in a data
+// centre and until a time that aren't known.
+func (c *Contents) keepUnreadableWorkers() {
+	for _, bad := range c.Unreadable {
+		if bad.Table == Roster {
+			record := c.Roster[bad.Name]
+			record.DataCentre, record.LeaseEndMillis = "", 0
+			c.Roster[bad.Name] = record
+		}
+	}
+}
+
 func (c *Contents) add(row table.Row) error {
 	switch row.Table {
 	case Submissions:
--- a/keel/schedule/unreadable_test.go
+++ b/keel/schedule/unreadable_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -46,3 +47,31 @@
 		assert.Equal(t, string(row.Value), `{"outcome":"later"}`)
 	})
 }
+
+// Guards against starting a task beside its run on a worker that the new leader can't reach and whose roster row can't be
+// decoded: the worker was taken for one that runs nothing.
+func TestWorkerWithUnreadableRosterRowMayRunTasks(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstanceIn("m1", "b")
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, time.Minute), time.Minute)
+		time.Sleep(time.Second)
+		b.addInstance("m2")
+		time.Sleep(2 * time.Second)
+		hosts := b.hosts()
+		assert.Equal(t, len(hosts), 1)
+		b.onLoop(b.s.End)
+		b.fleet.SetPartitioned("leader", "b", true)
+		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
+		assert.NilError(t, err)
+		for _, row := range contents.RosterRows[hosts[0].ID] {
+			b.store.Put(table.Write{Key: row.Key, Value: []byte("later")})
+		}
+		b.startEpoch(2, "p")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.starts(), 1)
+		time.Sleep(workerLease + time.Second)
+		assert.Equal(t, b.starts(), 2)
+	})
+}
