The settings of an unknown service neither fail a job nor remove its row

Cause, read and not seen: keel/job asked the tree for the attempts and the retention of a job's service. If the holder's replica lacks the service's node, because it lags behind the entry that accepted the job, the answer is that of the pool, the partner or the default, so that a job failed for good after three failed runs, or its row was removed after an hour, although its service allows more.

While the node isn't known, the greatest allowed value applies: 100 attempts, each on another worker, and 30 days. So a service that was removed bounds its jobs too.

Evidence: TestFailureWithUnknownService failed before with "failed != queued", TestRetentionWithUnknownService with "true != false". Tests of keel/job, keel/settings and entry/daemon pass.

--- a/keel/job/plan.go
+++ b/keel/job/plan.go
@@ -177,7 +177,7 @@
 
 func (p *planner) recordFailure(found rowset.Versioned[Record], report platform.TaskReport) {
 	job := found.Value
-	attempts := p.c.View.Settings().Tree.Int(settings.Path(job.Service), settings.JobAttempts)
+	attempts := p.c.View.Settings().Tree.IntOrMax(settings.Path(job.Service), settings.JobAttempts)
 	failedOn := append(slices.Clone(job.FailedOn), job.Worker)
 	found.Value.FailedOn = failedOn
 	if !job.Repeatable || len(failedOn) >= attempts {
@@ -262,7 +262,7 @@
 func (p *planner) removeExpired(ended []rowset.Versioned[Record]) {
 	tree := p.c.View.Settings().Tree
 	for _, found := range ended {
-		retention := tree.Duration(settings.Path(found.Value.Service), settings.JobRetention)
+		retention := tree.DurationOrMax(settings.Path(found.Value.Service), settings.JobRetention)
 		if p.batch.full() {
 			return
 		}
--- /dev/null
+++ b/keel/job/unknown_test.go
@@ -0,0 +1,92 @@
+package job
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/fleet"
+	"samphirekeel.example/keel/instance"
+	"samphirekeel.example/keel/platform"
+	"samphirekeel.example/keel/rowset"
+	"samphirekeel.example/keel/settings"
+)
+
+const (
+	testPool    = "quabbin/floor-pool"
+	testService = testPool + "/floor"
+)
+
+var testWorker = instance.Key("worcester", "i1")
+
+// newTestPlanner returns a planner of a pool with the job, on a view with the pool's settings and with the further rows.
+func newTestPlanner(t *testing.T, job Record, rows ...platform.Write) (*planner, rowset.Versioned[Record]) {
+	t.Helper()
+	job.ID, job.Pool, job.Service = "quabbin/floor/a", testPool, testService
+	view := fleet.NewView()
+	rows = append(rows, node("", ""), node("quabbin", ""), node(testPool, ""))
+	_, err := view.Apply(0, platform.ScanResult{Rows: versionOne(rows...), Through: 1})
+	assert.NilError(t, err)
+	s := newPoolScheduler(&Controller{View: view, Log: event.New(io.Discard, true)}, testPool, 1)
+	s.applyRows(versionOne(rowset.Write(job.Key(), job)))
+	p := &planner{poolScheduler: s, batch: newBatch(s.jobs, s.workers), serviceUsage: map[string]*ServiceUsage{testService: {}}}
+	found, ok := s.jobs.Get(job.Key())
+	assert.Assert(t, ok)
+	return p, found
+}
+
+// node returns the write of a node of the settings that sets values, a JSON object or nothing.
+func node(path settings.Path, values string) platform.Write {
+	n := settings.Node{Path: path}
+	if values != "" {
+		_ = json.Unmarshal([]byte(values), &n.Values)
+	}
+	return rowset.Write(settings.NodeKey(path), n)
+}
+
+func versionOne(writes ...platform.Write) []platform.Row {
+	var rows []platform.Row
+	for _, w := range writes {
+		rows = append(rows, platform.Row{Key: w.Key, Version: 1, Value: w.Value})
+	}
+	return rows
+}
+
+// Guards against failing a job for good by the inherited number of attempts while the settings of its service, which may
+// allow more, aren't known to the holder of the duty.
+func TestFailureWithUnknownService(t *testing.T) {
+	job := Record{State: Running, Repeatable: true, Worker: testWorker, Attempt: 3, FailedOn: []string{"a", "b"}}
+	p, found := newTestPlanner(t, job)
+	p.recordFailure(found, platform.TaskReport{State: platform.TaskFailed})
+	assert.Equal(t, p.batch.job(found.Key()).State, Queued)
+	p, found = newTestPlanner(t, job, node(testService, ""))
+	p.recordFailure(found, platform.TaskReport{State: platform.TaskFailed})
+	assert.Equal(t, p.batch.job(found.Key()).State, Failed)
+	p, found = newTestPlanner(t, job, node(testService, `{"job.attempts":4}`))
+	p.recordFailure(found, platform.TaskReport{State: platform.TaskFailed})
+	assert.Equal(t, p.batch.job(found.Key()).State, Queued)
+}
+
+// Guards against removing the row of an ended job by the inherited retention while the settings of its service, which may
+// ask for a longer one, aren't known.
+func TestRetentionWithUnknownService(t *testing.T) {
+	const hour = time.Hour
+	for _, c := range []struct {
+		rows    []platform.Write
+		ended   time.Duration
+		removed bool
+	}{
+		{nil, 2 * hour, false},
+		{nil, 31 * 24 * hour, true},
+		{[]platform.Write{node(testService, "")}, 2 * hour, true},
+	} {
+		p, found := newTestPlanner(t, Record{State: Done, Finished: time.Now().Add(-c.ended)}, c.rows...)
+		_, ended := p.queuedAndEnded()
+		p.removeExpired(ended)
+		assert.Equal(t, p.batch.removed[found.Key()], c.removed)
+	}
+}
--- a/keel/settings/tree.go
+++ b/keel/settings/tree.go
@@ -135,6 +135,29 @@
 	return duration
 }
 
+// DurationOrMax returns the effective value of a setting of type duration, or the longest allowed one if the tree has no
+// node at the path, whose settings aren't known then.
+func (t *Tree) DurationOrMax(path Path, key Key) time.Duration {
+	if !t.has(path) {
+		return time.Duration(definitionsByKey[key].Max)
+	}
+	return t.Duration(path, key)
+}
+
+// IntOrMax returns the effective value of a setting of type int, or the greatest allowed one if the tree has no node at
+// the path, whose settings aren't known then.
+func (t *Tree) IntOrMax(path Path, key Key) int {
+	if !t.has(path) {
+		return int(definitionsByKey[key].Max)
+	}
+	return t.Int(path, key)
+}
+
+func (t *Tree) has(path Path) bool {
+	_, ok := t.nodes[path]
+	return ok
+}
+
 // Int returns the effective value of a setting of type int.
 func (t *Tree) Int(path Path, key Key) int { return effective[int](t, path, key) }
 
