Reports of a task are awaited although its worker is unknown

Cause, read and not seen: after a task's lease the holder reads the reports of the worker's data centre before it records the task as interrupted, but not if the inventory lacks the worker, which may have been taken away since. A job that had completed there was then run again, or recorded as lost for good if it must not be repeated.

The data centre is part of the worker's key, so it is known without the inventory. For such a worker the wait ends after a minute without a report, since the data centre may be gone too.

Evidence: TestReportsOfUnknownWorkerAreAwaited failed before with "lost != running". Tests of keel/job and entry/daemon pass.

--- a/keel/instance/record.go
+++ b/keel/instance/record.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"strings"
+
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/rowset"
 )
@@ -47,6 +49,12 @@
 // Key returns the key of the instance's row.
 func Key(dataCentre, id string) string { return Prefix + dataCentre + "/" + id }
 
+// DataCentreOf returns the data centre in the key of an instance's row.
+func DataCentreOf(key string) string {
+	dataCentre, _, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	return dataCentre
+}
+
 // Key returns the key of the record's row.
 func (r Record) Key() string { return Key(r.DataCentre, r.ID) }
 
--- a/keel/job/plan.go
+++ b/keel/job/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/instance"
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/rowset"
 	"samphirekeel.example/keel/settings"
@@ -135,12 +136,20 @@
 	return true
 }
 
+// maxReportWait is how long after the end of its lease the report of a task is waited for if the inventory lacks its
+// worker, whose data centre may be gone too.
+const maxReportWait = time.Minute
+
 // reportsReadSinceExpiry reports whether the task reports of the worker's data centre were read after the lease
 // expired, so that a task that finished before isn't recorded as interrupted.
 func (p *planner) reportsReadSinceExpiry(job Record, task *taskState) bool {
-	inst, ok := p.c.View.Inventory().Get(job.Worker)
-	read := p.reportReads[inst.Value.DataCentre]
-	return !ok || read != nil && !read.inFlight && read.startedAt.After(task.lastPossibleRenewal.Add(p.leaseDuration(job)))
+	expired := task.lastPossibleRenewal.Add(p.leaseDuration(job))
+	read := p.reportReads[instance.DataCentreOf(job.Worker)]
+	if read != nil && !read.inFlight && read.startedAt.After(expired) {
+		return true
+	}
+	_, known := p.c.View.Inventory().Get(job.Worker)
+	return !known && time.Since(expired) > maxReportWait
 }
 
 func (p *planner) recordFinalReport(found rowset.Versioned[Record], report platform.TaskReport) {
--- a/keel/job/report.go
+++ b/keel/job/report.go
@@ -6,6 +6,7 @@
 
 	"samphirekeel.example/keel/control"
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/instance"
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/settings"
 )
@@ -23,10 +24,9 @@
 	}
 	dataCentres := make(map[string]bool)
 	for key := range s.tasks {
-		job, _ := s.jobs.Get(key)
-		inst, ok := s.c.View.Inventory().Get(job.Value.Worker)
+		job, ok := s.jobs.Get(key)
 		if ok {
-			dataCentres[inst.Value.DataCentre] = true
+			dataCentres[instance.DataCentreOf(job.Value.Worker)] = true
 		}
 	}
 	for _, dataCentre := range sortedKeys(dataCentres) {
--- a/keel/job/unknown_test.go
+++ b/keel/job/unknown_test.go
@@ -90,3 +90,20 @@
 		assert.Equal(t, p.batch.removed[found.Key()], c.removed)
 	}
 }
+
+// Guards against recording a job as lost although its task may have completed: its worker isn't in the inventory, for
+// example because it was taken away since, and the reports of its data centre weren't read.
+func TestReportsOfUnknownWorkerAreAwaited(t *testing.T) {
+	p, found := newTestPlanner(t, Record{State: Running, Worker: testWorker, Attempt: 1}, node(testService, ""))
+	task := &taskState{attempt: 1, lastPossibleRenewal: time.Now().Add(-35 * time.Second)}
+	p.recordOutcome(found, task)
+	assert.Equal(t, p.batch.job(found.Key()).State, Running)
+	p.reportReads["worcester"] = &reportRead{startedAt: time.Now()}
+	p.recordOutcome(found, task)
+	assert.Equal(t, p.batch.job(found.Key()).State, Lost)
+	// Without any report, the wait has a bound.
+	p, found = newTestPlanner(t, Record{State: Running, Worker: testWorker, Attempt: 1}, node(testService, ""))
+	task.lastPossibleRenewal = time.Now().Add(-30*time.Second - maxReportWait - callTimeout)
+	p.recordOutcome(found, task)
+	assert.Equal(t, p.batch.job(found.Key()).State, Lost)
+}
