A shorter lease in the settings ends no lease that was granted

Cause, read and not seen: whether the lease of a task has expired was decided by the settings of now. If its worker couldn't be reached when the lease was made shorter, the job was run again, or recorded as lost, while the task still ran under the longer lease.

The holder now remembers the latest end of the leases that it gave; a renewal that certainly succeeded replaces the end. Leases that an earlier holder granted are still taken to be as long as the settings say (open, docs/design/0083).

Evidence: TestShorterLeaseEndsNoGrantedLease failed before, 59 minutes into a lease of an hour. Tests of keel/job and entry/daemon pass.

--- a/keel/job/plan.go
+++ b/keel/job/plan.go
@@ -143,7 +143,7 @@
 // reportsReadSinceExpiry reports whether the task reports of the worker's data centre were read after the lease
 // expired, so that a task that finished before isn't recorded as interrupted.
 func (p *planner) reportsReadSinceExpiry(job Record, task *taskState) bool {
-	expired := task.lastPossibleRenewal.Add(p.leaseDuration(job))
+	expired := p.latestLeaseEnd(job, task)
 	read := p.reportReads[instance.DataCentreOf(job.Worker)]
 	if read != nil && !read.inFlight && read.startedAt.After(expired) {
 		return true
--- a/keel/job/scheduler.go
+++ b/keel/job/scheduler.go
@@ -73,6 +73,8 @@
 	stopped bool
 	// lastPossibleRenewal is the latest time at which a call that extends the lease may have been made.
 	lastPossibleRenewal time.Time
+	// leaseEnd is the latest end of a lease that this entry gave the task, zero if it gave none.
+	leaseEnd time.Time
 	// lastRenewal is when this entry last gave the task a full lease, zero if it never has.
 	lastRenewal         time.Time
 	checkpointRequested bool
--- a/keel/job/tasks.go
+++ b/keel/job/tasks.go
@@ -141,21 +141,21 @@
 	}
 	task.callInFlight, task.startSent = true, true
 	s.callTask(task, func(ctx context.Context) error { return s.c.Client.Start(ctx, request) }, func(err error) {
-		s.handleStartResult(job, task, err)
+		s.handleStartResult(job, task, request.Lease, err)
 	})
 }
 
-func (s *poolScheduler) handleStartResult(job Record, task *taskState, err error) {
+func (s *poolScheduler) handleStartResult(job Record, task *taskState, lease time.Duration, err error) {
 	switch {
 	case err == nil:
 		task.started, task.startUncertain = true, false
-		task.lastPossibleRenewal = time.Now()
+		task.extendLease(lease)
 		if job.Epoch == s.epoch {
 			task.lastRenewal = task.lastPossibleRenewal
 		}
 	case fault.As(err).Outcome() != fault.NotRun:
 		task.startUncertain = true
-		task.lastPossibleRenewal = time.Now()
+		task.extendLease(lease)
 	case fault.IsKind(err, fault.NotExist):
 		s.avoidUntil[job.Worker] = time.Now().Add(avoidDuration)
 		// An earlier start with no response, or one of an earlier epoch, may have run before the worker disappeared.
@@ -222,26 +222,49 @@
 		func(ctx context.Context) (platform.RenewResult, error) { return s.c.Client.RenewTasks(ctx, request) },
 		func(result platform.RenewResult, err error) {
 			for _, ref := range tasks {
-				s.handleRenewResult(ref.Task, result, err)
+				s.handleRenewResult(ref.Task, request.Lease, result, err)
 			}
 		})
 }
 
-func (s *poolScheduler) handleRenewResult(name string, result platform.RenewResult, err error) {
+func (s *poolScheduler) handleRenewResult(name string, lease time.Duration, result platform.RenewResult, err error) {
 	task := s.tasks[jobKeyOfTask(name)]
 	if task == nil {
 		return
 	}
 	task.callInFlight = false
-	unknown := err != nil && fault.As(err).Outcome() != fault.NotRun
-	if unknown || err == nil && result.Renewed[name] {
-		task.lastPossibleRenewal = time.Now()
+	renewed := err == nil && result.Renewed[name]
+	if renewed {
+		// The lease may have become shorter.
+		task.leaseEnd = time.Time{}
+	}
+	if renewed || err != nil && fault.As(err).Outcome() != fault.NotRun {
+		task.extendLease(lease)
 		task.lastRenewal = task.lastPossibleRenewal
 	}
 }
 
+// extendLease records a call that may have given the task a lease that begins now.
+func (t *taskState) extendLease(lease time.Duration) {
+	t.lastPossibleRenewal = time.Now()
+	end := t.lastPossibleRenewal.Add(lease)
+	if end.After(t.leaseEnd) {
+		t.leaseEnd = end
+	}
+}
+
+// latestLeaseEnd returns the latest end of the task's lease. One that an earlier holder granted is taken to be as long as
+// the settings say now.
+func (s *poolScheduler) latestLeaseEnd(job Record, task *taskState) time.Time {
+	end := task.lastPossibleRenewal.Add(s.leaseDuration(job))
+	if task.leaseEnd.After(end) {
+		return task.leaseEnd
+	}
+	return end
+}
+
 // leaseExpired reports whether the task's lease has certainly expired, even if the last renewal took effect callTimeout
 // after its call.
 func (s *poolScheduler) leaseExpired(job Record, task *taskState) bool {
-	return time.Since(task.lastPossibleRenewal) > s.leaseDuration(job)+callTimeout
+	return time.Since(s.latestLeaseEnd(job, task)) > callTimeout
 }
--- a/keel/job/unknown_test.go
+++ b/keel/job/unknown_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -107,3 +108,22 @@
 	p.recordOutcome(found, task)
 	assert.Equal(t, p.batch.job(found.Key()).State, Lost)
 }
+
+// Guards against taking the lease of an unreachable task as expired because the settings have a shorter one now than when
+// it was granted.
+func TestShorterLeaseEndsNoGrantedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, found := newTestPlanner(t, Record{State: Running, Worker: testWorker, Attempt: 1}, node(testService, ""))
+		job, task := found.Value, p.tasks[found.Key()]
+		renewed := platform.RenewResult{Renewed: map[string]bool{job.Task(): true}}
+		p.handleRenewResult(job.Task(), time.Hour, renewed, nil)
+		time.Sleep(59 * time.Minute)
+		assert.Assert(t, !p.leaseExpired(job, task))
+		time.Sleep(2 * time.Minute)
+		assert.Assert(t, p.leaseExpired(job, task))
+		p.handleRenewResult(job.Task(), time.Hour, renewed, nil)
+		p.handleRenewResult(job.Task(), 30*time.Second, renewed, nil)
+		time.Sleep(time.Minute)
+		assert.Assert(t, p.leaseExpired(job, task))
+	})
+}
