One unreadable control row hides no others

Cause, read and not seen: an entry's view applied the rows of a scan until the first that it couldn't decode, dropped the rest, and counted the scan as read, so these rows never came again. Instances, waves or settings of later rows stayed unknown, and the holder of a duty decided without them: a wave is done once no known instance waits for it. The error was dropped too. It takes a row of another build.

All other rows are now applied, the unreadable ones keep their earlier values and versions, so that no change is based on a row that wasn't understood, and the error is logged as row_unreadable.

Evidence: TestUnreadableRowHidesNoOthers failed before: the error named the instance only, and the settings were not applied. TestUnreadableSettingsAreNotReplaced passed before too; it guards the new order. Tests of keel/fleet, settings, job, wave, repair, route and of the entry module pass. Open: a wave doesn't count an instance of which no row could ever be decoded.

--- a/entry/daemon/replica.go
+++ b/entry/daemon/replica.go
@@ -153,8 +153,11 @@
 func (d *Daemon) applyRows(after uint64, result platform.ScanResult) {
 	oldRevision := d.view.Settings().Tree.Revision()
 	changed, err := d.view.Apply(after, result)
+	if err != nil {
+		d.Log.Write(event.RowUnreadable, event.Fields{"reason": err.Error()})
+	}
 	first := !d.replica.complete
-	if err != nil || !changed && !first {
+	if !changed && !first {
 		return
 	}
 	d.replica.complete = true
--- a/keel/fleet/view.go
+++ b/keel/fleet/view.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"samphirekeel.example/keel/instance"
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/pool"
@@ -60,24 +62,17 @@
 // Heartbeats returns the newest heartbeats of the entries.
 func (v *View) Heartbeats() *Heartbeats { return v.heartbeats }
 
-// Apply applies the result of a scan of the control rows after a version, and reports whether any row changed.
+// Apply applies the result of a scan of the control rows after a version, and reports whether any row changed. Rows that
+// can't be decoded, for example those of a later build, keep their earlier values and are joined in the error.
 func (v *View) Apply(after uint64, result platform.ScanResult) (bool, error) {
 	changed := v.cache.Apply(after, result)
 	if len(changed) == 0 {
 		return false, nil
 	}
-	_, err := v.inventory.Update(changed)
-	if err != nil {
-		return true, err
-	}
-	_, err = v.pools.Update(changed)
-	if err != nil {
-		return true, err
-	}
-	_, err = v.waves.Update(changed)
-	if err != nil {
-		return true, err
-	}
-	v.settings, err = v.settings.Update(changed)
-	return true, err
+	_, inventoryErr := v.inventory.Update(changed)
+	_, poolsErr := v.pools.Update(changed)
+	_, wavesErr := v.waves.Update(changed)
+	next, settingsErr := v.settings.Update(changed)
+	v.settings = next
+	return true, errors.Join(inventoryErr, poolsErr, wavesErr, settingsErr)
 }
--- a/keel/rowset/set.go
+++ b/keel/rowset/set.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/platform"
 )
@@ -59,21 +61,19 @@
 	return &Set[T]{prefix: prefix, byKey: make(map[string]Versioned[T])}
 }
 
-// Update applies the rows, skips those of other prefixes, and reports whether any row had the set's prefix. It stops at
-// the first row that can't be decoded.
+// Update applies the rows, skips those of other prefixes, and reports whether any row had the set's prefix. Rows that
+// can't be decoded leave the set as it is and are joined in the error.
 func (s *Set[T]) Update(rows []platform.Row) (bool, error) {
 	changed := false
+	var failures error
 	for _, row := range rows {
 		if !strings.HasPrefix(row.Key, s.prefix) {
 			continue
 		}
 		changed = true
-		err := s.put(row)
-		if err != nil {
-			return changed, err
-		}
+		failures = errors.Join(failures, s.put(row))
 	}
-	return changed, nil
+	return changed, failures
 }
 
 func (s *Set[T]) put(row platform.Row) error {
--- a/keel/settings/state.go
+++ b/keel/settings/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/rowset"
@@ -23,30 +25,28 @@
 }
 
 // Update returns the state with the rows applied, which must be those of whole transactions. It returns s if no row
-// belongs to the tree, if they would lead to a lower revision, and, with an error, if a row can't be decoded.
+// belongs to the tree, or if they would lead to a lower revision. Nodes that can't be decoded stay as they are and are
+// joined in the error.
 func (s *State) Update(rows []platform.Row) (*State, error) {
 	relevant := slices.ContainsFunc(rows, func(row platform.Row) bool { return strings.HasPrefix(row.Key, Prefix) })
 	if !relevant {
 		return s, nil
 	}
 	next := &State{Tree: NewTree(s.Tree.revision, s.Tree.nodes), versions: maps.Clone(s.versions)}
+	var failures error
 	for _, row := range rows {
-		err := next.updateRow(row)
-		if err != nil {
-			return s, err
-		}
+		failures = errors.Join(failures, next.updateRow(row))
 	}
 	if next.Tree.revision < s.Tree.revision {
-		return s, nil
+		return s, failures
 	}
-	return next, nil
+	return next, failures
 }
 
 func (s *State) updateRow(row platform.Row) error {
 	if !strings.HasPrefix(row.Key, Prefix) {
 		return nil
 	}
-	s.versions[row.Key] = row.Version
 	if row.Key == headKey {
 		var head Head
 		err := json.Unmarshal(row.Value, &head)
@@ -54,6 +54,7 @@
 			return fault.Wrap(fault.Internal, err, "decode row %s", row.Key)
 		}
 		s.Tree.revision = head.Revision
+		s.versions[row.Key] = row.Version
 		return nil
 	}
 	if row.Deleted() {
@@ -67,6 +68,7 @@
 		return fault.Wrap(fault.Internal, err, "decode row %s", row.Key)
 	}
 	s.Tree.nodes[node.Path] = node
+	s.versions[row.Key] = row.Version
 	return nil
 }
 
