No 404 for a service from an entry whose settings may be out of date

After 4 s without a confirmation, the time within which a change is in force everywhere, the answer is 503 with Retry-After. An entry that only its peers of other data centres update isn't confirmed and answers 503 as well. The three look-ups of a service are one now (Router.Find).

Evidence: TestServiceUnknownToStaleEntry failed before with the 404. Tests of keel/route and entry/daemon pass.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -95,6 +95,9 @@
 	// startedAt is the time at which the control loop started.
 	startedAt time.Time
 	replica   replicaState
+	// replicaCheckedAt is replica.checkedAt once the rows of that check are applied, nil before the first.
+	replicaCheckedAt atomic.Pointer[time.Time]
+
 	broadcast broadcastState
 	// endedSessions counts the sessions of this process that other entries ended.
 	endedSessions int
@@ -162,7 +165,7 @@
 	d.view = fleet.NewView()
 	d.router = &route.Router{
 		Log: d.Log, DataCentre: d.Config.DataCentre, Dial: d.Dial, Random: d.Random,
-		Capacity: int64(d.Config.Limits.Connections), Metrics: route.NewMetrics(d.registry),
+		Capacity: int64(d.Config.Limits.Connections), Metrics: route.NewMetrics(d.registry), Current: d.replicaCurrent,
 	}
 	d.session = &duty.Session{
 		Client: d.Client, Loop: d.loop, Log: d.Log, LeaseDuration: memberLease, RenewInterval: memberRenewInterval, PollInterval: memberPollInterval,
--- a/entry/daemon/replica.go
+++ b/entry/daemon/replica.go
@@ -26,6 +26,9 @@
 	// readerFallbackDelay, times its rank, is the time after which an entry whose replica was not confirmed reads the
 	// table itself.
 	readerFallbackDelay = time.Second
+	// maxReplicaAge is the time within which a change of the settings is in force everywhere. An entry whose replica was not
+	// confirmed for so long may lack one.
+	maxReplicaAge = 4 * time.Second
 )
 
 // replicaState is the state of the entry's replica of the control rows; it belongs to the control loop.
@@ -88,6 +91,7 @@
 			if err == nil {
 				d.replica.checkedAt = sentAt
 				d.applyRows(after, result)
+				d.replicaCheckedAt.Store(&sentAt)
 			}
 			if d.replica.readAgain {
 				d.replica.readAgain = false
@@ -197,9 +201,16 @@
 	checkedAt := time.Now().Add(-time.Duration(heartbeat.CheckedMillis) * time.Millisecond)
 	if heartbeat.DataCentre == d.Config.DataCentre && heartbeat.CheckedMillis > 0 && checkedAt.After(d.replica.checkedAt) {
 		d.replica.checkedAt = checkedAt
+		d.replicaCheckedAt.Store(&checkedAt)
 	}
 }
 
+// replicaCurrent reports whether the replica is known to hold all settings in force; it may be called from any goroutine.
+func (d *Daemon) replicaCurrent() bool {
+	checkedAt := d.replicaCheckedAt.Load()
+	return checkedAt != nil && time.Since(*checkedAt) < maxReplicaAge
+}
+
 // pullRows pulls the missing rows from a peer that is ahead, unless another pull is running.
 func (d *Daemon) pullRows() {
 	if d.replica.pulling {
--- a/entry/daemon/replica_test.go
+++ b/entry/daemon/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,3 +78,30 @@
 		assert.Equal(t, c.lastApplied(1).Sub(began), 2*pullDuration)
 	})
 }
+
+// Guards against a final 404 for a service that was added while the entry could read the settings neither from the table
+// nor from its peers.
+func TestServiceUnknownToStaleEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "worcester", "lowell")
+		defer c.close()
+		c.addEntry("worcester", "w1", "w1")
+		c.addEntry("lowell", "l1", "l1")
+		time.Sleep(20 * time.Second)
+		submit := func(entry, key string) string { return jobCommand(c, []string{entry, "quabbin/floor", key, "1000"}) }
+		assert.Assert(t, strings.HasPrefix(submit("l1", "a"), "404"))
+		platformCommand(c, []string{`{"cut":["lowell"]}`})
+		c.network.SetPartitioned("worcester", "lowell", true)
+		for _, path := range []string{"quabbin", "quabbin/floor-pool", "quabbin/floor-pool/floor"} {
+			setCommand(c, []string{"w1", path})
+		}
+		time.Sleep(10 * time.Second)
+		response := submit("l1", "b")
+		assert.Assert(t, strings.HasPrefix(response, "503"), response)
+		platformCommand(c, []string{"{}"})
+		c.network.SetPartitioned("worcester", "lowell", false)
+		time.Sleep(10 * time.Second)
+		response = submit("l1", "c")
+		assert.Assert(t, strings.HasPrefix(response, "200"), response)
+	})
+}
--- a/keel/gateway/gateway.go
+++ b/keel/gateway/gateway.go
@@ -128,13 +128,9 @@
 }
 
 func (g *Gateway) setDeadline(ctx *fasthttp.RequestCtx, request *route.Request) error {
-	directory := g.Router.Directory()
-	if directory == nil {
-		return fault.New(fault.NotReady, "this entry has not loaded its settings yet").WithRetryAfter(time.Second)
-	}
-	service, ok := directory.Services[request.Service]
-	if !ok {
-		return fault.New(fault.UnknownService, "service %q", request.Service)
+	service, err := g.Router.Find(request.Service)
+	if err != nil {
+		return err
 	}
 	timeout := service.Timeout
 	text := string(ctx.Request.Header.Peek(HeaderTimeout))
--- a/keel/gateway/jobs.go
+++ b/keel/gateway/jobs.go
@@ -61,7 +61,7 @@
 		return nil, fault.New(fault.NotExist, "path %s is not /jobs/partner/service or /jobs/partner/service/key", ctx.Path())
 	}
 	name := parts[1] + "/" + parts[2]
-	service, err := j.findService(name)
+	service, err := j.Router.Find(name)
 	if err != nil {
 		return nil, err
 	}
@@ -81,18 +81,6 @@
 	return nil, fault.New(fault.NotExist, "%s %s", ctx.Method(), ctx.Path())
 }
 
-func (j *Jobs) findService(name string) (*route.Service, error) {
-	directory := j.Router.Directory()
-	if directory == nil {
-		return nil, fault.New(fault.NotReady, "this entry has not loaded its settings yet").WithRetryAfter(time.Second)
-	}
-	service, ok := directory.Services[name]
-	if !ok {
-		return nil, fault.New(fault.UnknownService, "service %q", name)
-	}
-	return service, nil
-}
-
 func (j *Jobs) submit(callCtx context.Context, ctx *fasthttp.RequestCtx, service *route.Service, name string) (any, error) {
 	var submission Submission
 	err := json.Unmarshal(ctx.Request.Body(), &submission)
--- a/keel/route/bench_test.go
+++ b/keel/route/bench_test.go
@@ -57,7 +57,7 @@
 			router, _, _ := benchRouter(b, instances, 0)
 			b.ReportAllocs()
 			for b.Loop() {
-				service, _ := router.service(benchService)
+				service, _ := router.Find(benchService)
 				chosen, ok := service.pool.pick(rand.IntN, nil)
 				if !ok {
 					b.Fatal("no endpoint")
--- a/keel/route/router.go
+++ b/keel/route/router.go
@@ -46,6 +46,8 @@
 	Random func(n int) int
 	// Capacity limits the requests in flight at this entry; 0 means no limit.
 	Capacity int64
+	// Current reports whether the directory is known to be up to date; nil means that it always is.
+	Current func() bool
 	// Metrics may be nil; unregistered metrics are then used.
 	Metrics *Metrics
 
@@ -68,24 +70,30 @@
 // Directory returns the current directory, or nil if none has been published.
 func (r *Router) Directory() *Directory { return r.directory.Load() }
 
-// service returns the service named "partner/service".
-func (r *Router) service(name string) (*Service, error) {
+// Find returns the service named "partner/service". It fails with kind UnknownService if there is none, and with kind
+// NotReady if that isn't known.
+func (r *Router) Find(name string) (*Service, error) {
+	// The directory may be replaced by a newer one after the check.
+	current := r.Current == nil || r.Current()
 	directory := r.directory.Load()
 	if directory == nil {
 		return nil, fault.New(fault.NotReady, "this entry has not loaded its settings yet").WithRetryAfter(defaultRetryAfter)
 	}
 	service, ok := directory.Services[name]
-	if !ok {
-		return nil, fault.New(fault.UnknownService, "service %q", name)
+	switch {
+	case ok:
+		return service, nil
+	case !current:
+		return nil, fault.New(fault.NotReady, "no service %q known, and the settings of this entry may be out of date", name).WithRetryAfter(defaultRetryAfter)
 	}
-	return service, nil
+	return nil, fault.New(fault.UnknownService, "service %q", name)
 }
 
 // Admit counts a request to the service, "partner/service", as in flight until release is called; it fails with kind
 // Overloaded if the partner has too many. A partner may have at most as many requests in flight as the entry has
 // capacity left, so that one that floods the entry always leaves capacity for others.
 func (r *Router) Admit(name string) (release func(), err error) {
-	service, err := r.service(name)
+	service, err := r.Find(name)
 	if err != nil {
 		return nil, err
 	}
@@ -108,7 +116,7 @@
 // Do sends the request and reads the whole response; if the service exists, an error with outcome not_run carries a
 // delay before a retry.
 func (r *Router) Do(request *Request, response *fasthttp.Response) error {
-	service, err := r.service(request.Service)
+	service, err := r.Find(request.Service)
 	if err != nil {
 		return err
 	}
