No job is rejected for its size by an inventory that may be out of date

Cause, read and not seen: Submit answered 422, job_never_fits, which is final for a caller, by the sizes of the instances that the entry's replica has, also if it had not been confirmed for long and larger instances were there. The answer is then 503 with Retry-After.

Evidence: TestSizesOfStaleInventory failed before with job_never_fits. Tests of keel/job and entry/daemon pass. Open: the holder of the duty refuses a queued job by its own replica and by the learned usage of other tasks (docs/design/0083).

--- a/entry/daemon/jobs.go
+++ b/entry/daemon/jobs.go
@@ -14,7 +14,7 @@
 		Interval: jobInterval, Metrics: job.NewMetrics(d.registry),
 	}
 	d.jobService = &job.Service{
-		Client: d.Client, Log: d.Log,
+		Client: d.Client, Log: d.Log, SizesCurrent: d.replicaCurrent,
 		Notify: func(pool string) { d.loop.Post(context.Background(), func() { d.notifyJobsChanged(pool) }) },
 	}
 }
--- a/keel/job/service.go
+++ b/keel/job/service.go
@@ -28,6 +28,8 @@
 	Log    *event.Log
 	// Notify notifies the holder of the pool's duty that job rows of the pool have changed.
 	Notify func(pool string)
+	// SizesCurrent reports whether the instance sizes are known to be up to date; nil means that they always are.
+	SizesCurrent func() bool
 
 	// instanceSizes is nil until SetInstanceSizes is called.
 	instanceSizes atomic.Pointer[InstanceSizes]
@@ -55,10 +57,10 @@
 func (s *Service) SetInstanceSizes(sizes *InstanceSizes) { s.instanceSizes.Store(sizes) }
 
 // Submit stores the job as queued and returns it; if the same job was submitted before, it returns the stored one.
-// It fails with kind JobNeverFits if the job fits on no instance that its pool has or could get, and with KeyReused if
-// the ID belongs to another job.
+// It fails with kind JobNeverFits if the job fits on no instance that its pool has or could get, with NotReady if that
+// isn't known, and with KeyReused if the ID belongs to another job.
 func (s *Service) Submit(ctx context.Context, job Record) (Record, error) {
-	err := s.instanceSizes.Load().Check(job.Pool, job.Size)
+	err := s.checkSize(job)
 	if err != nil {
 		return job, err
 	}
@@ -80,6 +82,16 @@
 	return job, nil
 }
 
+func (s *Service) checkSize(job Record) error {
+	// The sizes may be replaced by newer ones after the check.
+	current := s.SizesCurrent == nil || s.SizesCurrent()
+	err := s.instanceSizes.Load().Check(job.Pool, job.Size)
+	if err != nil && !current {
+		return fault.Wrap(fault.NotReady, err, "no instance known that fits the job, and the inventory of this entry may be out of date").WithRetryAfter(time.Second)
+	}
+	return err
+}
+
 // existing returns the stored job in row if job is a retry of its submission.
 func existing(job Record, row platform.Row) (Record, error) {
 	var found Record
--- a/keel/job/unknown_test.go
+++ b/keel/job/unknown_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/fleet"
 	"samphirekeel.example/keel/instance"
 	"samphirekeel.example/keel/platform"
@@ -127,3 +128,21 @@
 		assert.Assert(t, p.leaseExpired(job, task))
 	})
 }
+
+// Guards against rejecting a job for good by the instance sizes of an inventory that may be out of date.
+func TestSizesOfStaleInventory(t *testing.T) {
+	inventory := instance.NewInventory()
+	record := instance.Record{ID: "i1", DataCentre: "worcester", Pool: testPool, Size: platform.Size{MilliCores: 1000, MemoryMB: 1000}}
+	_, err := inventory.Update(versionOne(rowset.Write(record.Key(), record)))
+	assert.NilError(t, err)
+	current := true
+	s := &Service{SizesCurrent: func() bool { return current }}
+	s.SetInstanceSizes(NewInstanceSizes(inventory))
+	job := Record{Pool: testPool, Size: platform.Size{MilliCores: 2000, MemoryMB: 1000}}
+	_, err = s.Submit(t.Context(), job)
+	assert.Assert(t, fault.IsKind(err, fault.JobNeverFits), err)
+	current = false
+	_, err = s.Submit(t.Context(), job)
+	assert.Assert(t, fault.IsKind(err, fault.NotReady), err)
+	assert.Assert(t, fault.As(err).RetryAfter() > 0)
+}
