A claim that can't be decoded isn't removed before its retention

Such a row now counts as expired when one that was written later is; until then the cursor stays before it.

Evidence: TestSweepKeepsUnreadableClaim failed before, "2 != 1" removed. Tests of keel/claim and entry/daemon pass.

--- a/keel/claim/sweep.go
+++ b/keel/claim/sweep.go
@@ -128,18 +128,18 @@
 		return result, err
 	}
 	result.more = scan.More
-	for _, row := range scan.Rows {
-		if !row.Deleted() && !claimedBefore(row, before) {
-			result.more = false
-			// The rows of one transaction have the same version.
-			result.cursor.Through = min(result.cursor.Through, row.Version-1)
-			break
-		}
+	end := expiredRows(scan.Rows, before)
+	for _, row := range scan.Rows[:end] {
 		result.cursor.Through = row.Version
 		if !row.Deleted() {
 			result.expired = append(result.expired, row)
 		}
 	}
+	if end < len(scan.Rows) {
+		result.more = false
+		// The rows of one transaction have the same version.
+		result.cursor.Through = min(result.cursor.Through, scan.Rows[end].Version-1)
+	}
 	if len(result.expired) == 0 {
 		// Rows that are removed already need no commit; the next one stores the cursor.
 		return result, nil
@@ -147,9 +147,28 @@
 	return result, s.commit(ctx, lease, &result)
 }
 
-func claimedBefore(row platform.Row, before int64) bool {
-	record, err := decodeRecord(row.Value)
-	return err != nil || record.UnixMillis < before
+// expiredRows returns the number of rows, in the order of their versions, before the first claim that isn't known to be
+// expired. One that can't be decoded, for example of a later build, is expired if one that was written later is.
+func expiredRows(rows []platform.Row, before int64) int {
+	end, unreadable := 0, false
+	for i, row := range rows {
+		if row.Deleted() {
+			if !unreadable {
+				end = i + 1
+			}
+			continue
+		}
+		record, err := decodeRecord(row.Value)
+		switch {
+		case err != nil:
+			unreadable = true
+		case record.UnixMillis >= before:
+			return end
+		default:
+			end, unreadable = i+1, false
+		}
+	}
+	return end
 }
 
 // readCursor reads the cursor's row, so that a new holder of the duty continues where the last one stopped.
--- a/keel/claim/sweep_test.go
+++ b/keel/claim/sweep_test.go
@@ -65,3 +65,29 @@
 		}
 	})
 }
+
+// Guards against removing a claim that can't be decoded, for example one of a later build, before its retention has
+// passed: the request could run a second time.
+func TestSweepKeepsUnreadableClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := &Sweeper{Client: p.Client("a")}
+		put := func(key string, value []byte) {
+			p.Table().Commit(platform.Txn{Writes: []platform.Write{{Key: Prefix + "partner/service/" + key, Value: value}}})
+		}
+		put("0", []byte(`{"unix_ms":1}`))
+		put("1", []byte(`{"unix_ms":"later"}`))
+		put("2", nil)
+		current := cursor{}
+		sweep := func() int {
+			result, err := s.sweep(t.Context(), duty.Lease{Condition: platform.Condition{Key: "duty"}}, "partner/service", current, 3)
+			assert.NilError(t, err)
+			current = result.cursor
+			return len(result.expired)
+		}
+		assert.Equal(t, sweep(), 1)
+		assert.Equal(t, sweep(), 0)
+		put("3", []byte(`{"unix_ms":2}`))
+		assert.Equal(t, sweep(), 2)
+	})
+}
