--- a/entry/site/unknown_test.go
+++ b/entry/site/unknown_test.go
@@ -70,6 +70,10 @@
 		defer p.shutdown()
 		p.build()
 		time.Sleep(5 * time.Second)
+		for _, entry := range p.entryNames() {
+			status, _ := p.request(entry, fasthttp.MethodGet, "never.example", "/never/", "")
+			assert.Equal(t, status, fasthttp.StatusNotFound, entry)
+		}
 		leader, other := p.leaderName(), "a-1"
 		if leader == other {
 			other = "b-1"
