A run on a worker that the replica lacks isn't stopped

Cause, read and not seen: a holder whose replica doesn't have the instance of a running job, because it lags or because the instance was taken away, took it for one that leaves the pool, and stopped a checkpointable or repeatable run there. The run now goes on while its lease can be renewed; if it can't, the lease ends the wait.

Evidence: TestRunOnUnknownWorkerGoesOn failed before, "true != false" stopped. Tests of keel/job, also with -race, and of entry/daemon pass.

--- a/keel/job/tasks.go
+++ b/keel/job/tasks.go
@@ -75,7 +75,7 @@
 	case job.State == Running && (job.CancelRequested || s.shouldPreempt(found.Key())):
 		s.stopTask(found, task)
 		return true
-	case job.State == Running && !s.serving(job.Worker):
+	case job.State == Running && s.leaving(job.Worker):
 		return s.drainTask(found, task)
 	}
 	return false
@@ -96,6 +96,13 @@
 	return found.Value.Serving() || found.Value.State == instance.Failed
 }
 
+// leaving reports whether tasks of the pool are to leave the instance. One that isn't known, because the replica lags or
+// because it was taken away, keeps them for as long as their leases can be renewed.
+func (s *poolScheduler) leaving(key string) bool {
+	_, known := s.c.View.Inventory().Get(key)
+	return known && !s.serving(key)
+}
+
 // shouldPreempt reports whether the job is to be stopped for the job that its worker is reserved for.
 func (s *poolScheduler) shouldPreempt(key string) bool {
 	job, _ := s.jobs.Get(key)
--- a/keel/job/unknown_test.go
+++ b/keel/job/unknown_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphirekeel.example/keel/control"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/fleet"
@@ -146,3 +148,28 @@
 	assert.Assert(t, fault.IsKind(err, fault.NotReady), err)
 	assert.Assert(t, fault.As(err).RetryAfter() > 0)
 }
+
+// Guards against stopping a run because the replica doesn't have its worker's instance yet.
+func TestRunOnUnknownWorkerGoesOn(t *testing.T) {
+	record := instance.Record{ID: "i1", DataCentre: "worcester", Pool: testPool, State: instance.Leaving}
+	for _, c := range []struct {
+		rows    []platform.Write
+		stopped bool
+	}{
+		{nil, false},
+		{[]platform.Write{rowset.Write(record.Key(), record)}, true},
+	} {
+		p, found := newTestPlanner(t, Record{State: Running, Repeatable: true, Worker: testWorker, Attempt: 1}, c.rows...)
+		p.c.Loop = control.New(1)
+		p.c.Client = &platform.Client{Call: func(context.Context, string, any, any) error { return nil }}
+		stopped := make(chan bool, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- p.c.Loop.Run(ctx, func() { stopped <- p.reconcileTask(found, p.tasks[found.Key()]) })
+		}()
+		assert.Equal(t, <-stopped, c.stopped)
+		cancel()
+		assert.NilError(t, <-done)
+	}
+}
