A takeover doesn't wait seconds for one lost response

A new leader raises the guards of its ledger before it reads it. The first timeout is 0.4 s now, and twice as long at each failure up to 2.5 s, so that a slow store is waited for as before. TestTakeoverSoonAfterLostResponse failed before: not ready after 1 s.

--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -14,22 +14,25 @@
 const (
 	// takeoverRetry is the delay before a failed takeover step is retried.
 	takeoverRetry = 60 * time.Millisecond
+	// guardTimeout is the first timeout for raising a guard, which is doubled at each failure up to callTimeout: the response
+	// may be lost, and the takeover waits for it.
+	guardTimeout = 400 * time.Millisecond
 	// maxClockDrift is the maximum relative rate by which a worker's clock may be slow.
 	maxClockDrift = 0.02
 	// orderLatency is an upper bound on the time for an order to reach a worker.
 	orderLatency = 150 * time.Millisecond
 )
 
-// takeoverStep runs one step of the takeover outside the control loop, retries it until it succeeds and then calls done
-// on the loop.
-func takeoverStep[T any](s *Scheduler, name string, work func(context.Context) (T, error), done func(T)) {
-	call(s, callTimeout, work, func(result T, err error) {
+// takeoverStep runs one step of the takeover outside the control loop, retries it until it succeeds, with twice the timeout
+// each time up to callTimeout, and then calls done on the loop.
+func takeoverStep[T any](s *Scheduler, name string, timeout time.Duration, work func(context.Context) (T, error), done func(T)) {
+	call(s, timeout, work, func(result T, err error) {
 		if err == nil {
 			done(result)
 			return
 		}
 		s.Log.Write(event.RecoveryStep, event.Fields{"epoch": s.Epoch, "step": name, "outcome": err.Error()})
-		s.after(takeoverRetry, func() { takeoverStep(s, name, work, done) })
+		s.after(takeoverRetry, func() { takeoverStep(s, name, min(callTimeout, 2*timeout), work, done) })
 	})
 }
 
@@ -40,7 +43,7 @@
 	s.lastReadyEpoch = s.Epoch - 1
 	partitions := ledger.LeaderPartitions()
 	for _, partition := range partitions {
-		takeoverStep(s, "guard_"+partition, func(ctx context.Context) (ledger.Guard, error) {
+		takeoverStep(s, "guard_"+partition, guardTimeout, func(ctx context.Context) (ledger.Guard, error) {
 			return ledger.RaiseGuard(ctx, s.Store, partition, s.Epoch)
 		}, func(guard ledger.Guard) {
 			s.guards[partition] = guard.Version
@@ -66,7 +69,7 @@
 func (s *Scheduler) loadStore() {
 	registrations := s.Store.Scan(table.Range{Table: s.Rows.RegistrationTable})
 	loader := ledger.NewLoader(s.Store)
-	takeoverStep(s, "load", func(ctx context.Context) (snapshot, error) {
+	takeoverStep(s, "load", callTimeout, func(ctx context.Context) (snapshot, error) {
 		for {
 			done, err := registrations.Next(ctx)
 			if err != nil {
--- a/keel/schedule/takeover_test.go
+++ b/keel/schedule/takeover_test.go
@@ -63,3 +63,27 @@
 		assert.DeepEqual(t, calls, map[string]int{"ledger0": 2, "ledger1": 1, "ledger2": 1})
 	})
 }
+
+// Guards against a takeover that waits for seconds for one lost response of the store.
+func TestTakeoverSoonAfterLostResponse(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		inner := b.store.Client("leader").Commit
+		first := true
+		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+			b.mu.Lock()
+			lost := first
+			first = false
+			b.mu.Unlock()
+			if !lost {
+				return inner(ctx, txn)
+			}
+			_, err := inner(ctx, txn)
+			assert.NilError(b.t, err)
+			<-ctx.Done()
+			return table.Result{}, fault.New(fault.PlatformUnavailable, "response lost").WithOutcome(fault.Unknown)
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(time.Second)
+		assert.Assert(t, b.ready())
+	})
+}
