--- a/entry/site/cluster_test.go
+++ b/entry/site/cluster_test.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	entries map[string]*process
 	queues  []queue.Queue
+	// removed holds the names of the queues that the configuration lacks.
+	removed map[string]bool
 	pools   []queue.Pool
 	version int
 	group   sync.WaitGroup
@@ -94,7 +96,7 @@
 	})
 	return &testCluster{
 		t: t, began: time.Now(), random: random, network: emulator.NewNetwork(), store: store, checker: checker, fleet: fleet,
-		log: &lineLog{}, entries: make(map[string]*process),
+		log: &lineLog{}, entries: make(map[string]*process), removed: make(map[string]bool),
 	}
 }
 
@@ -117,12 +119,23 @@
 }
 
 func (c *testCluster) putConfig() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.version++
-	row, err := platformtest.Config(c.version, c.queues, c.pools)
+	queues := slices.DeleteFunc(slices.Clone(c.queues), func(q queue.Queue) bool { return c.removed[q.Name] })
+	row, err := platformtest.Config(c.version, queues, c.pools)
 	assert.NilError(c.t, err)
 	c.store.Put(row)
 }
 
+// setRemoved removes a queue from the configuration, or adds it again.
+func (c *testCluster) setRemoved(name string, removed bool) {
+	c.mu.Lock()
+	c.removed[name] = removed
+	c.mu.Unlock()
+	c.putConfig()
+}
+
 // putWave requests a maintenance wave.
 func (c *testCluster) putWave(number int64, instances []string, seconds float64, maxConcurrent int) {
 	wave := provider.Wave{Number: number, Instances: instances, DeadlineSeconds: seconds, MaxConcurrent: maxConcurrent}
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -88,7 +88,7 @@
 	At   duration `json:"at"`
 	For  duration `json:"for"`
 	Kind string   `json:"kind"`
-	// Target names an entry, a data centre, a rack, a kind of store outage with its scope, or an instance; leader is
+	// Target names an entry, a data centre, a rack, a kind of store outage with its scope, a pool or an instance; leader is
 	// the current leader.
 	Target string  `json:"who"`
 	Share  float64 `json:"share"`
@@ -335,9 +335,14 @@
 			time.Sleep(400 * time.Millisecond)
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		copied := *job
 		copied.Terms = e.terms(job.Queue)
+		if copied.Terms == nil {
+			// The entry's configuration lacks the queue.
+			time.Sleep(400 * time.Millisecond)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		err := e.site.submit(ctx, &copied)
 		cancel()
 		if err == nil && !e.killed.Load() {
@@ -422,6 +427,11 @@
 		"instance_service":   p.instanceServiceOutage,
 		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
+		"remove_queue": func(_ *dayFault, target string, length time.Duration) {
+			p.setRemoved("q-"+target, true)
+			time.Sleep(length)
+			p.setRemoved("q-"+target, false)
+		},
 		"wave": func(f *dayFault, _ string, length time.Duration) {
 			p.putWave(1, p.instances(f), length.Seconds(), 4)
 		},
--- a/entry/site/drawn_test.go
+++ b/entry/site/drawn_test.go
@@ -73,8 +73,14 @@
 
 // TestDrawnDays plays days with overlapping faults that are drawn from the seed. SAMPHIREKEEL_DRAWN is the number of
 // further seeds.
-func TestDrawnDays(t *testing.T) {
-	data, err := os.ReadFile("testdata/drawn.json")
+func TestDrawnDays(t *testing.T) { playDrawn(t, "testdata/drawn.json") }
+
+// TestDrawnOperatorDays plays days on which runs fail, leaders change, the operator's table can't be read and versions of the
+// configuration lack a queue.
+func TestDrawnOperatorDays(t *testing.T) { playDrawn(t, "testdata/drawn_operator.json") }
+
+func playDrawn(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
 	assert.NilError(t, err)
 	var d drawnDays
 	assert.NilError(t, json.Unmarshal(data, &d))
