A start order without a response is sent again

Cause: the outcome of a start was given up as unknown at the first missing response. The worker takes a repeated order for the same run, and rejects a late one once the run has ended or was stopped, so it is sent again, up to twice. If a repeat is rejected because the run is known to have ended there, the worker's list decides; any other rejection leaves the first order in doubt, and the run is stopped as before.

Evidence: TestStartWithoutResponseIsRepeated failed before for orders that were carried out at once and late: still running after 10 s.

--- a/keel/schedule/doubt_test.go
+++ b/keel/schedule/doubt_test.go
@@ -20,10 +20,9 @@
 	withTestbed(t, func(b *testbed) {
 		b.addInstance("m1")
 		inner := b.fleet.WorkerClient("leader")
-		var lost atomic.Int32
 		var accepted atomic.Int64
 		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
-			if o.Run == 1 && lost.Add(1) <= 2 {
+			if o.Run == 1 {
 				<-ctx.Done()
 				return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
 			}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -104,7 +104,7 @@
 			// The run may have no end, so only the next list shows that it is gone.
 			return 0
 		}
-		inDoubt = inDoubt || r.inDoubt
+		inDoubt = inDoubt || r.isUnanswered()
 	}
 	switch {
 	case inDoubt && now-w.listedAt < listingInterval:
@@ -121,7 +121,7 @@
 		return true
 	}
 	for _, r := range w.runs {
-		if r.inDoubt || r.stopping {
+		if r.isUnanswered() || r.stopping {
 			return true
 		}
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -15,6 +15,8 @@
 	orderTimeout = 220 * time.Millisecond
 	// stopRetry is the delay before a failed stop order is sent again.
 	stopRetry = 150 * time.Millisecond
+	// maxStartRepeats is how often a start order without a response is sent again before its run is stopped.
+	maxStartRepeats = 2
 	// failureBackoff is the delay before a failed task is retried, multiplied by the number of its failures.
 	failureBackoff = 30 * time.Millisecond
 )
@@ -35,6 +37,8 @@
 	adopted bool
 	// inDoubt is set while it is unknown whether a start order without a response will be carried out.
 	inDoubt bool
+	// repeats counts how often the start order was sent again because it had no response.
+	repeats int
 	// stopping is set once the run is to be stopped; stopSent is set while a stop order is in flight, and once one has
 	// been accepted.
 	stopping   bool
@@ -154,10 +158,50 @@
 		if r.removed {
 			return
 		}
-		s.handleStartReply(r, reply, err)
+		switch {
+		case r.confirmedAt != 0 && err != nil:
+			// The worker has listed the run meanwhile.
+		case r.mayRepeatStart(err):
+			r.repeats++
+			s.sendStart(r, order)
+		case r.repeats > 0:
+			s.handleRepeatedStartReply(r, reply, err)
+		default:
+			s.handleStartReply(r, reply, err)
+		}
 	})
 }
 
+// isUnanswered reports whether a start order of the run has had no response, and nothing else has shown what became of it.
+func (r *run) isUnanswered() bool { return r.inDoubt || r.repeats > 0 && r.confirmedAt == 0 }
+
+// mayRepeatStart reports whether a start order that ended with the error is sent again. The worker takes it for the same run,
+// and rejects a late one once that has ended, so that a repeat settles most starts whose outcome is unknown.
+func (r *run) mayRepeatStart(err error) bool {
+	unknown := err != nil && fault.As(err).Outcome() != fault.NotRun
+	return unknown && r.repeats < maxStartRepeats && !r.stopping && r.worker.unresponsiveSince == 0
+}
+
+// handleRepeatedStartReply applies the response to a start order that was sent again. The earlier order may have been
+// carried out, or may be later, unless the response shows otherwise.
+func (s *Scheduler) handleRepeatedStartReply(r *run, reply worker.Reply, err error) {
+	switch {
+	case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.OtherBoot):
+		s.handleStartReply(r, reply, nil)
+	case err == nil && reply.Refusal == worker.Superseded:
+		// The run has ended, or a later one is known there, so that it can't start any more: the worker's next list shows it.
+		s.recordClock(r.worker, reply)
+		r.confirmedAt = s.Now()
+		s.stop(r, "worker knows the end of the run, or a later run")
+		s.stopGang(r.task)
+		s.scheduleRenewal(r.worker, 0)
+	case err == nil:
+		s.markInDoubt(r, fault.New(fault.EndpointRefused, "repeated start order rejected: %s", reply.Refusal))
+	default:
+		s.markInDoubt(r, err)
+	}
+}
+
 func (s *Scheduler) handleStartReply(r *run, reply worker.Reply, err error) {
 	w := r.worker
 	if err != nil && fault.As(err).Outcome() == fault.NotRun {
