A start whose outcome stays unknown ends with its worker's lease

What callers saw: LOST, a task that could run and doesn't. Cause: a start without a response is settled by the response to the order to stop it. While that was lost and renewals got through, each renewal extended the worker's lease, and each other start there too, so that the task waited without a bound.

Once the outcome of a start is unknown for 1.5 s, its worker's lease isn't extended and it gets no tasks, until the start is settled. The run is over with the lease at the latest, as on a silent worker; the start is then one that may be carried out late, for which the worker gets no lease before it has accepted the order to stop it. Runs beside it on the worker go on if the start is settled within the lease, and are lost with it otherwise: a task that waits for ever is worse. A response to a start that never comes back to the scheduler has the same bound now.

--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -21,6 +21,7 @@
 	isUnresponsive   unavailability = "unresponsive"
 	hasOrphans       unavailability = "runs_without_job"
 	hasLateStarts    unavailability = "late_starts"
+	hasStartInDoubt  unavailability = "start_in_doubt"
 	isAvoided        unavailability = "avoided"
 	hasFailures      unavailability = "failures"
 	isReclaimed      unavailability = "reclaimed"
@@ -75,6 +76,8 @@
 		return hasOrphans
 	case len(s.lateStarts[w.ID]) > 0:
 		return hasLateStarts
+	case w.startUnsettled:
+		return hasStartInDoubt
 	case now < w.avoidUntil:
 		return isAvoided
 	}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -25,7 +25,8 @@
 
 // renew extends the worker's lease and requests the state of its runs. After a renewal without a response the lease isn't
 // extended before there is one, so that the worker's runs are over when it has expired; nor does the worker hold the
-// request open.
+// request open. Nor is the lease extended while the outcome of a start stays unknown, so that its task waits for the end of
+// the lease at most, however often the worker responds.
 func (s *Scheduler) renew(w *workerState) {
 	if w.renewing || w.removed {
 		return
@@ -39,7 +40,9 @@
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
 	if w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
-		order.LeaseEnd = s.extendLease(w)
+		if !w.startUnsettled {
+			order.LeaseEnd = s.extendLease(w)
+		}
 		if len(w.ends) == 0 {
 			order.Wait = w.renewalWait(now)
 		}
@@ -138,6 +141,20 @@
 	}
 }
 
+// unsettledStartTime is the time after which a start without a response keeps the worker's lease from being extended. Most
+// are settled by the orders to stop them within a few times stopRetry.
+const unsettledStartTime = 1500 * time.Millisecond
+
+// hasUnsettledStart reports whether it is unknown for longer than unsettledStartTime whether a start was carried out.
+func (w *workerState) hasUnsettledStart(now time.Duration) bool {
+	for _, r := range w.runs {
+		if r.confirmedAt == 0 && now-r.ordered > unsettledStartTime {
+			return true
+		}
+	}
+	return false
+}
+
 // markUnresponsive records that the worker failed to respond.
 func (s *Scheduler) markUnresponsive(w *workerState, err error) {
 	if w.unresponsiveSince == 0 {
@@ -230,6 +247,7 @@
 // registration, and renews the leases that are due for renewal.
 func (s *Scheduler) checkWorkers(now time.Duration) {
 	for _, w := range s.workers {
+		w.startUnsettled = w.hasUnsettledStart(now)
 		s.recordLeaseEnd(w, now)
 		switch {
 		case w.leaseExpiry != 0 && now > w.leaseExpiry:
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -77,6 +77,9 @@
 	// renewalFailed is set while the latest renewal got no response. Whether it was carried out isn't certain, even if it
 	// could not be sent in the end: it may have been sent through a relay before.
 	renewalFailed bool
+	// startUnsettled is set while the lease isn't extended because the outcome of a start is unknown; nor does the worker get
+	// tasks, which would extend it.
+	startUnsettled bool
 
 	runs map[work.TaskID]*run
 	// orphans holds runs, by task, that no open job needs and that are being stopped. Their size is unknown, so a
