Drawn plays of trouble for the scheduler, and a check of its backlogs

TestJobsRunAfterTrouble draws jobs of several shapes, changes of leader and overlapping faults, of which some last to the end: workers that answer now and then, lost and late orders, late responses to starts, failing and hanging runs, writes of roster rows that fail or whose outcome is unknown, outages of the store, of its partitions and of the instance service, a partition, a crash, a drain. The draws are fixed by the seed, the order of calls at one moment isn't, so a play may differ from run to run.

Each test on the testbed now also compares, every 50 ms, the waiting tasks, ready steps and places in the backlog of all open jobs, the cursors, the steps that a pass takes as hopeless and the jobs held by workers of earlier epochs with what the tasks and workers say. Without the touch in addWaiting it fails in TestRetryWhereItFailed, so it does compare. Sizes marked as unplaceable within a pass aren't covered.

--- a/keel/emulator/faults.go
+++ b/keel/emulator/faults.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// SetDisturbed makes the checker not count the room of the present workers of the instances, whose calls a test disturbs, or
+// ends that.
+func (f *Fleet) SetDisturbed(disturbed bool, ids ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, inst := range f.withWorkersLocked(ids) {
+		inst.worker.disturbed = disturbed
+	}
+}
+
 // SetSilent stops the heartbeats of the current workers of the instances, or resumes them; their registrations expire
 // after registrationTTLHeartbeats.
 func (f *Fleet) SetSilent(silent bool, ids ...string) {
--- a/keel/emulator/stall.go
+++ b/keel/emulator/stall.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// LongestIdle returns the job that has had no run for longest although it could, and the beginning of that; it relies on
+// Watch. The ID is empty if there is no such job.
+func (c *Checker) LongestIdle() (id string, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[name]
+		if j.mustRun() && !j.idleSince.IsZero() && (id == "" || j.idleSince.Before(since)) {
+			id, since = name, j.idleSince
+		}
+	}
+	return id, since
+}
+
 func (j *jobRecord) hasRun() bool {
 	for _, t := range j.tasks {
 		if len(t.running) > 0 {
@@ -226,7 +240,7 @@
 }
 
 func (w *Worker) isUsable() bool {
-	if w.ended || w.draining || w.unreachable || w.silent || w.behaviour != (Behaviour{}) {
+	if w.ended || w.draining || w.unreachable || w.silent || w.disturbed || w.behaviour != (Behaviour{}) {
 		return false
 	}
 	for _, dataCentres := range w.fleet.partitioned {
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -36,8 +36,10 @@
 	draining  bool
 	// unreachable makes calls to the worker get no response, and silent stops its heartbeats.
 	unreachable, silent bool
-	ended               bool
-	sequence            uint64
+	// disturbed is set while a test disturbs the calls to the worker.
+	disturbed bool
+	ended     bool
+	sequence  uint64
 	// executesLate is set while an order is carried out that was delayed by the fleet's lateShare.
 	executesLate bool
 
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -46,7 +46,7 @@
 }
 
 // withTestbed runs the test on a fake clock with a control loop, a store and a fleet. Afterwards it stops them and
-// fails the test for each invariant that the emulator found broken.
+// fails the test for each invariant that the emulator found broken. Meanwhile it checks the backlogs.
 func withTestbed(t *testing.T, test func(b *testbed)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := emulator.NewStore(rand.New(rand.NewPCG(1, 1)))
@@ -66,6 +66,7 @@
 		done := make(chan error, 1)
 		go func() { done <- b.loop.Run(ctx, func() { close(started) }) }()
 		<-started
+		go b.watchBacklogs(ctx)
 		defer func() {
 			b.onLoop(func() {
 				if b.s != nil {
