An ended job keeps only what callers may still ask for

What callers saw: nothing by itself; the leader of the large site comes to its soft limit of memory, and collects garbage instead of starting tasks.

Cause: an ended job kept its tasks, spec and terms until its submission had been replaced with a stub, which waits for the next round and for the store, and its failures, checkpoints, estimates and data centres for good. A job whose outcome the leader had inherited together with the whole submission was never replaced, so that it stayed in memory and in the store.

All but the ID, the queue, the digest and the outcome is dropped as soon as the outcome is stored, and an inherited submission is replaced with a stub like any other. Runs that are still being stopped keep their tasks. A run that a worker lists of a job that ended is stopped as an orphan, as it was after the stub was written.

Outcomes are never removed from the ledger, so there is no removal after which to forget one.

TestLoads took the queue from the scheduler's state of ended jobs, which no longer has one; it takes the same queue from the configuration now, with the same bounds.

--- a/keel/schedule/cleanup.go
+++ b/keel/schedule/cleanup.go
@@ -125,12 +125,6 @@
 		func(_ table.Result, err error) {
 			if err != nil {
 				s.ledger.pendingStubs = append(s.ledger.pendingStubs, jobs...)
-				return
-			}
-			for _, j := range jobs {
-				j.stubbed = true
-				// Only the state of the ended job is queried from now on.
-				j.occurrences, j.Steps, j.Spec, j.Terms = nil, nil, "", nil
 			}
 		})
 }
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -58,8 +58,6 @@
 	criticalPath time.Duration
 	// onStored holds callbacks to run once the outcome is stored.
 	onStored []func()
-	stubbed  bool
-	ended    time.Duration
 }
 
 // occurrence is one execution of all steps of a job; a timed job has several.
@@ -173,7 +171,10 @@
 	j.arrived = s.Now() - max(0, s.Wall()-time.Duration(j.Accepted)*time.Millisecond)
 	s.jobs[j.ID] = j
 	if record.Outcome != nil {
-		j.outcome, j.stored, j.ended = record.Outcome, true, s.Now()
+		// The earlier leader has not replaced the submission with a stub.
+		j.outcome, j.stored = record.Outcome, true
+		j.release()
+		s.ledger.pendingStubs = append(s.ledger.pendingStubs, j)
 		return
 	}
 	s.Log.WriteFunc(event.JobTaken, func() event.Fields {
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -184,7 +184,7 @@
 					continue
 				}
 				delete(open, id)
-				q := b.s.jobs[id].queue
+				q := b.s.Config.QueueByName(sub.job.Queue)
 				due := sub.at + q.LatencyTarget + time.Duration(q.Stretch*float64(sub.taskDuration))
 				if at <= due {
 					done(sub)
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -71,7 +71,16 @@
 	if s.jobs[id] != nil {
 		return
 	}
-	s.jobs[id] = &job{Job: &work.Job{ID: id, Queue: outcome.Queue, Digest: outcome.Digest}, outcome: outcome, stored: true, stubbed: true, ended: s.Now()}
+	s.jobs[id] = &job{Job: &work.Job{ID: id, Queue: outcome.Queue, Digest: outcome.Digest}, outcome: outcome, stored: true}
+}
+
+// release drops all of an ended job whose outcome is stored but what callers may still ask for. Its runs that are being stopped
+// keep their tasks.
+func (j *job) release() {
+	*j = job{
+		Job: &work.Job{ID: j.ID, Queue: j.Queue, Digest: j.Digest}, outcome: j.outcome, outcomeChange: j.outcomeChange, stored: j.stored,
+		lastChange: j.lastChange, storedChange: j.storedChange, dirty: j.dirty, dirtySince: j.dirtySince,
+	}
 }
 
 // objective returns the time by which the job should be completed, by the scheduler's clock.
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -370,7 +370,7 @@
 	if j.outcome == nil || j.stored || j.storedChange < j.outcomeChange {
 		return
 	}
-	j.stored, j.ended = true, now
+	j.stored = true
 	l.pendingStubs = append(l.pendingStubs, j)
 	l.s.countOutcome(j, now)
 	l.s.Log.WriteFunc(event.JobFinished, func() event.Fields {
@@ -379,10 +379,11 @@
 			"late_ms": j.lateness(now).Milliseconds(),
 		}
 	})
-	for _, done := range j.onStored {
+	callbacks := j.onStored
+	j.release()
+	for _, done := range callbacks {
 		done()
 	}
-	j.onStored = nil
 }
 
 // requeue queues the rows of a failed batch again, its jobs as urgent ones, and switches to the next partition.
