A task that waits for long is explained behind any number of jobs

Cause, read: a report of waiting tasks examined the first 256 waiting jobs of a pool only, in scheduling order.

A report now examines the first 128 and, by turns, 128 of the others, so that each is examined once in as many reports as there are 128s of jobs, at the same cost. Those that have waited longest among them are explained, as before.

TestLongestWaitIsExplainedBehindManyJobs failed before: explained in 0 of 26 reports with 3,128 jobs; now in 2 of 50.

--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -49,6 +49,8 @@
 	// cursors holds, by service class, where the next pass continues to examine the jobs behind those that each pass examines
 	// first.
 	cursors [classLate + 1]rank
+	// reportCursor is where the next report of waiting tasks continues to examine the jobs behind the first ones.
+	reportCursor rank
 }
 
 // rank is a job's place in an order.
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -13,9 +13,9 @@
 	waitReportInterval = time.Second
 	// minReportedWait is how long a task must have waited to be reported; shorter waits are part of each start.
 	minReportedWait = 2 * time.Second
-	// maxReportedJobs is the maximum number of waiting jobs of a pool that a report examines: the first in scheduling
-	// order.
-	maxReportedJobs = 256
+	// maxReportedJobs is the maximum number of waiting jobs of a pool that a report examines: the first in scheduling order,
+	// and by turns as many of the others, so that each task that waits for long is explained in some report.
+	maxReportedJobs = 128
 	// maxExplainedSteps is the maximum number of steps among these for which a report compares tasks with workers: those
 	// whose tasks have waited longest.
 	maxExplainedSteps = 32
@@ -123,6 +123,8 @@
 	groups map[waitKey]*waitGroup
 	// unplaced holds the steps of the present pool with tasks that wait for a worker.
 	unplaced []*unplacedStep
+	// examined is the number of waiting tasks of the present pool's jobs that the report examines.
+	examined int
 }
 
 // unplacedStep is a step with tasks that wait for a worker, the one that has waited longest first.
@@ -130,26 +132,45 @@
 	tasks []*task
 }
 
-// addPool adds the tasks without runs of the pool's first waiting jobs, and the number of all others.
+// addPool adds the tasks without runs of the pool's first waiting jobs and of some others, and the number of all the rest.
 func (c *waitCollector) addPool(p *pool) {
 	p.update(c.now, c.s.fleet.mayRun)
-	var rest *task
-	jobs, tasks := 0, 0
-	walk(p.backlog.waiting, startOf(classLongRunning), startOf(classLate+1), func(j *job) bool {
+	b := &p.backlog
+	last, rest := c.addJobs(b, startOf(classLongRunning))
+	if rest != nil {
+		from := last
+		if from.before(b.reportCursor) {
+			from = b.reportCursor
+		}
+		var next *job
+		b.reportCursor, next = c.addJobs(b, from)
+		if next == nil {
+			b.reportCursor = rank{}
+		}
+		c.addCount(rest.waitingTask(), wait{cause: waitUnexplained, since: c.now}, b.tasks-c.examined)
+	}
+	c.examined = 0
+	if len(c.unplaced) > 0 {
+		c.addUnplaced(p, c.unplaced)
+		c.unplaced = nil
+	}
+}
+
+// addJobs adds the tasks of up to maxReportedJobs waiting jobs from a place on. It returns the place of the next one and that
+// job, nil if none is left.
+func (c *waitCollector) addJobs(b *backlog, from rank) (last rank, next *job) {
+	jobs := 0
+	last, _ = walk(b.waiting, from, startOf(classLate+1), func(j *job) bool {
 		if jobs == maxReportedJobs {
-			rest = j.waitingTask()
+			next = j
 			return false
 		}
 		jobs++
-		tasks += j.waiting
+		c.examined += j.waiting
 		c.addJob(j)
 		return true
 	})
-	c.addCount(rest, wait{cause: waitUnexplained, since: c.now}, p.backlog.tasks-tasks)
-	if len(c.unplaced) > 0 {
-		c.addUnplaced(p, c.unplaced)
-		c.unplaced = nil
-	}
+	return last, next
 }
 
 // waitingTask returns a task of the job that needs a run, or nil if there is none.
--- a/keel/schedule/wait_test.go
+++ b/keel/schedule/wait_test.go
@@ -81,3 +81,26 @@
 		})
 	}
 }
+
+// Guards against a task that waits for long without a cause in any report, because too many jobs are before it.
+func TestLongestWaitIsExplainedBehindManyJobs(t *testing.T) {
+	f := newBacklogFleet(t, 25000)
+	p := f.s.pools["p"]
+	last, _ := p.backlog.waiting.Max()
+	for _, t := range last.job.waitingTask().step.tasks {
+		t.readySince = 0
+	}
+	reports := 1 + p.backlog.waiting.Len()/maxReportedJobs
+	explained := 0
+	for range 2 * reports {
+		c := &waitCollector{s: f.s, now: backlogClock + minReportedWait, groups: make(map[waitKey]*waitGroup)}
+		c.addPool(p)
+		for _, g := range c.groups {
+			if g.cause != waitUnexplained && g.longest.job() == last.job {
+				explained++
+			}
+		}
+	}
+	t.Logf("%d jobs wait, explained in %d of %d reports", p.backlog.waiting.Len(), explained, 2*reports)
+	assert.Check(t, explained >= 1)
+}
