Log results that the leader at an address doesn't take

What callers saw: nothing known; found by reading.

Cause: a relay sends results in the form of the orders. A leader that is replaced at the same address by an older build doesn't know the compact form and rejects it; the relay repeats them for 1 s and then dropped them without a line in the log. The same holds for results that can't be delivered for another reason.

The results are of no use to the new process, whose scheduler learns about runs from the workers' lists; now the relay logs relay_results_dropped (405) with their number and the reason. They neither delay the results for the new process, which have a queue of their own, nor end its calls: order numbers begin at random ones.

--- a/entry/site/relays.go
+++ b/entry/site/relays.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	server.Workers, server.Now = s.Workers, s.Now
+	server.Log, server.Workers, server.Now = s.Log, s.Workers, s.Now
 	server.Reply = func(ctx context.Context, address string, results relay.Results) error {
 		if results.Compact {
 			return s.node.Call(ctx, address, relay.MethodCompactResults, peer.Attachment(results.Encode()), &struct{}{})
--- a/keel/relay/relay_test.go
+++ b/keel/relay/relay_test.go
@@ -118,7 +118,7 @@
 	if b.servers[relay] == nil {
 		server, err := NewServer()
 		assert.NilError(b.t, err)
-		server.Workers, server.Now = b.workers(relay), func() time.Duration { return b.clock(relay) }
+		server.Log, server.Workers, server.Now = &event.Log{}, b.workers(relay), func() time.Duration { return b.clock(relay) }
 		server.Reply = func(ctx context.Context, _ string, results Results) error {
 			if b.link(relay) == "results_lost" {
 				<-ctx.Done()
--- a/keel/relay/server.go
+++ b/keel/relay/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/panjf2000/ants/v2"
 
+	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
@@ -28,6 +29,7 @@
 // Server carries out the orders of leaders; its exported fields are set before it is used. Its methods are safe for
 // concurrent use.
 type Server struct {
+	Log *event.Log
 	// Workers sends orders to workers.
 	Workers *worker.Client
 	// Reply sends results to the leader at the address; it fails if the leader may not have received them.
@@ -158,7 +160,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 		err := s.Reply(ctx, to.address, results)
 		cancel()
-		if err == nil || s.Now() > giveUpAt {
+		if err == nil {
+			return
+		}
+		if s.Now() > giveUpAt {
+			s.Log.Write(event.RelayResultsDropped, event.Fields{"leader": to.address, "results": len(results.Results), "reason": err.Error()})
 			return
 		}
 		time.Sleep(resultRetry)
