--- a/entry/site/cluster_test.go
+++ b/entry/site/cluster_test.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	entries map[string]*process
 	queues  []queue.Queue
+	// removed holds the names of the queues that the configuration lacks.
+	removed map[string]bool
 	pools   []queue.Pool
 	version int
 	group   sync.WaitGroup
@@ -94,7 +96,7 @@
 	})
 	return &testCluster{
 		t: t, began: time.Now(), random: random, network: emulator.NewNetwork(), store: store, checker: checker, fleet: fleet,
-		log: &lineLog{}, entries: make(map[string]*process),
+		log: &lineLog{}, entries: make(map[string]*process), removed: make(map[string]bool),
 	}
 }
 
@@ -109,6 +111,7 @@
 // addQueue adds a queue to the configuration; putConfig stores it.
 func (c *testCluster) addQueue(name, pool string, attempts int) {
 	c.checker.QueuePools[name] = pool
+	c.checker.SetAttempts(name, attempts)
 	c.queues = append(c.queues, queue.Queue{
 		Name: name, Host: name + ".example", Prefix: "/" + name + "/", Pool: pool, Timeout: 3 * time.Second,
 		LatencyTarget: 600 * time.Millisecond, Stretch: 1.6, MaxAttempts: attempts,
@@ -116,12 +119,23 @@
 }
 
 func (c *testCluster) putConfig() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.version++
-	row, err := platformtest.Config(c.version, c.queues, c.pools)
+	queues := slices.DeleteFunc(slices.Clone(c.queues), func(q queue.Queue) bool { return c.removed[q.Name] })
+	row, err := platformtest.Config(c.version, queues, c.pools)
 	assert.NilError(c.t, err)
 	c.store.Put(row)
 }
 
+// setRemoved removes a queue from the configuration, or adds it again.
+func (c *testCluster) setRemoved(name string, removed bool) {
+	c.mu.Lock()
+	c.removed[name] = removed
+	c.mu.Unlock()
+	c.putConfig()
+}
+
 // putWave requests a maintenance wave.
 func (c *testCluster) putWave(number int64, instances []string, seconds float64, maxConcurrent int) {
 	wave := provider.Wave{Number: number, Instances: instances, DeadlineSeconds: seconds, MaxConcurrent: maxConcurrent}
@@ -246,39 +260,44 @@
 	}
 }
 
-// kill ends an entry abruptly, as a power failure does.
-func (c *testCluster) kill(name string) {
-	p := c.entry(name)
+// kill ends an entry abruptly, as a power failure does, and reports whether it was running.
+func (c *testCluster) kill(name string) bool {
+	p := c.removeEntry(name)
 	if p == nil {
-		return
+		return false
 	}
 	p.killed.Store(true)
 	c.network.KillHost(p.host)
 	p.cancel()
-	c.removeEntry(p)
+	return true
 }
 
-// stop ends an entry gracefully, as SIGTERM does.
-func (c *testCluster) stop(name string) {
-	p := c.entry(name)
+// stop ends an entry gracefully, as SIGTERM does, and reports whether it was running.
+func (c *testCluster) stop(name string) bool {
+	p := c.removeEntry(name)
 	if p == nil {
-		return
+		return false
 	}
-	c.removeEntry(p)
 	p.cancel()
+	return true
 }
 
-// removeEntry removes an entry from the map; its goroutines end by themselves.
-func (c *testCluster) removeEntry(p *process) {
+// removeEntry removes an entry from the map and returns it, or nil if there is none; its goroutines end by themselves.
+func (c *testCluster) removeEntry(name string) *process {
 	c.mu.Lock()
-	delete(c.entries, p.name)
+	p := c.entries[name]
+	delete(c.entries, name)
 	c.mu.Unlock()
+	if p == nil {
+		return nil
+	}
 	c.group.Go(func() {
 		err := <-p.done
 		if err != nil && !p.killed.Load() {
 			c.t.Errorf("entry %s ended with an error: %v", p.name, err)
 		}
 	})
+	return p
 }
 
 func (c *testCluster) entry(name string) *process {
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -88,7 +88,7 @@
 	At   duration `json:"at"`
 	For  duration `json:"for"`
 	Kind string   `json:"kind"`
-	// Target names an entry, a data centre, a rack, a kind of store outage with its scope, or an instance; leader is
+	// Target names an entry, a data centre, a rack, a kind of store outage with its scope, a pool or an instance; leader is
 	// the current leader.
 	Target string  `json:"who"`
 	Share  float64 `json:"share"`
@@ -335,9 +335,14 @@
 			time.Sleep(400 * time.Millisecond)
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		copied := *job
 		copied.Terms = e.terms(job.Queue)
+		if copied.Terms == nil {
+			// The entry's configuration lacks the queue.
+			time.Sleep(400 * time.Millisecond)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		err := e.site.submit(ctx, &copied)
 		cancel()
 		if err == nil && !e.killed.Load() {
@@ -422,6 +427,11 @@
 		"instance_service":   p.instanceServiceOutage,
 		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
+		"remove_queue": func(_ *dayFault, target string, length time.Duration) {
+			p.setRemoved("q-"+target, true)
+			time.Sleep(length)
+			p.setRemoved("q-"+target, false)
+		},
 		"wave": func(f *dayFault, _ string, length time.Duration) {
 			p.putWave(1, p.instances(f), length.Seconds(), 4)
 		},
@@ -525,13 +535,12 @@
 	set(false)
 }
 
-// restart ends an entry and starts it again after the delay, at least 3 s.
-func (p *dayRun) restart(name string, after time.Duration, end func(string)) {
+// restart ends an entry and starts it again after the delay, at least 3 s. It does nothing if another fault has ended it.
+func (p *dayRun) restart(name string, after time.Duration, end func(string) bool) {
 	e := p.entry(name)
-	if e == nil {
+	if e == nil || !end(name) {
 		return
 	}
-	end(name)
 	time.Sleep(max(after, 3*time.Second))
 	p.addEntry(name, e.dataCentre, false)
 }
@@ -548,6 +557,8 @@
 		outage.Callers = []string{p.leaderName()}
 	case strings.HasPrefix(scope, "entry="):
 		outage.Callers = []string{strings.TrimPrefix(scope, "entry=")}
+	case strings.HasPrefix(scope, "table="):
+		outage.Tables = []string{strings.TrimPrefix(scope, "table=")}
 	case scope != "":
 		outage.Partitions = strings.Split(scope, ",")
 	}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -58,8 +58,6 @@
 	criticalPath time.Duration
 	// onStored holds callbacks to run once the outcome is stored.
 	onStored []func()
-	stubbed  bool
-	ended    time.Duration
 }
 
 // occurrence is one execution of all steps of a job; a timed job has several.
@@ -173,7 +171,10 @@
 	j.arrived = s.Now() - max(0, s.Wall()-time.Duration(j.Accepted)*time.Millisecond)
 	s.jobs[j.ID] = j
 	if record.Outcome != nil {
-		j.outcome, j.stored, j.ended = record.Outcome, true, s.Now()
+		// The earlier leader has not replaced the submission with a stub.
+		j.outcome, j.stored = record.Outcome, true
+		j.release()
+		s.ledger.pendingStubs = append(s.ledger.pendingStubs, j)
 		return
 	}
 	s.Log.WriteFunc(event.JobTaken, func() event.Fields {
@@ -356,54 +357,3 @@
 	}
 	return true
 }
-
-// routeJobs reassigns all open jobs to queues and pools of the current configuration.
-func (s *Scheduler) routeJobs() {
-	for _, j := range s.jobs {
-		if j.open() {
-			s.route(j)
-		}
-	}
-}
-
-// route assigns the job to its queue and pool, those of the newest configuration with the queue that is known: the current
-// one, one that this leader has seen before, or the one under which the job was accepted.
-func (s *Scheduler) route(j *job) {
-	q := s.Config.QueueByName(j.Queue)
-	switch {
-	case j.Terms != nil && j.Terms.Version > s.Config.VersionOrZero():
-		j.queue = j.Terms.Queue(j.Queue)
-	case q != nil:
-		j.queue = q
-	case j.queue == nil && j.Terms != nil:
-		j.queue = j.Terms.Queue(j.Queue)
-	}
-	if j.queue == nil {
-		s.unrouted[j] = true
-		return
-	}
-	delete(s.unrouted, j)
-	s.setPool(j, s.pool(j.queue.Pool))
-	j.touch()
-	s.checkAttempts(j)
-}
-
-func (s *Scheduler) setPool(j *job, p *pool) {
-	if j.pool == p {
-		return
-	}
-	if j.pool != nil {
-		delete(j.pool.jobs, j)
-		j.pool.backlog.remove(j)
-	}
-	j.pool, j.touched = p, false
-	if p != nil {
-		p.jobs[j] = true
-	}
-}
-
-// removeFromPool removes an ended job from its pool.
-func (s *Scheduler) removeFromPool(j *job) {
-	delete(s.unrouted, j)
-	s.setPool(j, nil)
-}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -95,6 +95,7 @@
 // collectWaits returns the waits by pool and cause, ordered by both.
 func (s *Scheduler) collectWaits(now time.Duration) []*waitGroup {
 	c := &waitCollector{s: s, now: now, groups: make(map[waitKey]*waitGroup)}
+	s.updateHolders()
 	for _, w := range s.workers {
 		for _, r := range w.runs {
 			c.addHeld(r)
@@ -132,24 +133,25 @@
 	tasks []*task
 }
 
-// addPool adds the tasks without runs of the pool's first waiting jobs and of some others, and the number of all the rest.
+// addPool adds the tasks without runs of the pool's first waiting and held jobs and of some others, and the number of all the
+// rest.
 func (c *waitCollector) addPool(p *pool) {
 	p.update(c.now, c.s.fleet.mayRun)
 	b := &p.backlog
-	last, rest := c.addJobs(b, startOf(classLongRunning))
-	if rest != nil {
-		from := last
-		if from.before(b.reportCursor) {
-			from = b.reportCursor
+	rest := b.firstHeldTask()
+	c.examined = c.addHeldJobs(p)
+	last, next := c.addJobs(b, startOf(classLongRunning))
+	if next != nil {
+		rest = next.waitingTask()
+		if last.before(b.reportCursor) {
+			last = b.reportCursor
 		}
-		var next *job
-		b.reportCursor, next = c.addJobs(b, from)
+		b.reportCursor, next = c.addJobs(b, last)
 		if next == nil {
 			b.reportCursor = rank{}
 		}
-		c.addCount(rest.waitingTask(), wait{cause: waitUnexplained, since: c.now}, b.tasks-c.examined)
 	}
-	c.examined = 0
+	c.addCount(rest, wait{cause: waitUnexplained, since: c.now}, b.tasks-c.examined)
 	if len(c.unplaced) > 0 {
 		c.addUnplaced(p, c.unplaced)
 		c.unplaced = nil
@@ -274,10 +276,16 @@
 func (c *waitCollector) addUnplaced(p *pool, steps []*unplacedStep) {
 	slices.SortFunc(steps, func(a, b *unplacedStep) int { return cmp.Compare(a.tasks[0].readySince, b.tasks[0].readySince) })
 	pl := c.s.newPlanner(p, c.now)
-	for n, step := range steps {
+	explained := 0
+	for _, step := range steps {
 		held := wait{cause: waitUnexplained}
-		if n < maxExplainedSteps {
+		holder := c.s.holderOf(step.tasks[0].job())
+		switch {
+		case holder != nil && !step.tasks[0].step.spec.Speculative:
+			held = wait{cause: waitUnfenced, worker: holder.ID, until: holder.leaseExpiry}
+		case explained < maxExplainedSteps:
 			held = c.explainUnplaced(pl, step.tasks[0])
+			explained++
 		}
 		for _, t := range step.tasks {
 			held.since = t.readySince
@@ -288,10 +296,6 @@
 
 // explainUnplaced returns what keeps the planner from placing the task.
 func (c *waitCollector) explainUnplaced(pl *planner, t *task) wait {
-	blocker := pl.unfencedWorkerFor(t.job())
-	if blocker != nil && !t.step.spec.Speculative {
-		return wait{cause: waitUnfenced, worker: blocker.ID, until: blocker.leaseExpiry}
-	}
 	cause := pl.placementWait(t)
 	if cause == waitNone && c.s.starts.held {
 		cause = waitOrders
