--- a/keel/schedule/trouble_test.go
+++ b/keel/schedule/trouble_test.go
@@ -38,8 +38,8 @@
 	workersPerCentre = 4
 	// maxTimeWithoutLeader is the longest time between two leaders, in which leases on workers end.
 	maxTimeWithoutLeader = 8 * time.Second
-	// acknowledgementTime is the time in which workers get the acknowledgements of failed runs once the trouble has ended.
-	acknowledgementTime = 2 * time.Second
+	// maxTimeUnknown is how long after the trouble a leader may not know an accepted job.
+	maxTimeUnknown = 3 * time.Second
 	// firstTroubleJob is the ID of the first job.
 	firstTroubleJob = 0xd001
 )
@@ -181,14 +181,13 @@
 }
 
 // checkStates compares the states that the leader shows with what the jobs' runs have done. A leader may know a job late only
-// while the trouble lasts, and the checker knows a failed run once a worker has the acknowledgement, which a partition delays.
+// while the trouble lasts and for maxTimeUnknown after it.
 func (p *trouble) checkStates(healed time.Time) {
 	for n := range p.jobs {
 		id := fmt.Sprintf("%016x", firstTroubleJob+n)
 		p.onLoop(func() {
 			state, known := p.s.State(id)
-			settling := !known && time.Since(healed) <= maxTroubleIdle || state == work.Failed && time.Since(healed) <= acknowledgementTime
-			if !settling {
+			if known || time.Since(healed) > maxTimeUnknown {
 				p.checker.CheckState(id, state, known)
 			}
 		})
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -133,26 +133,25 @@
 	tasks []*task
 }
 
-// addPool adds the tasks without runs of the pool's first waiting jobs and of some others, and the number of all the rest.
+// addPool adds the tasks without runs of the pool's first waiting and held jobs and of some others, and the number of all the
+// rest.
 func (c *waitCollector) addPool(p *pool) {
 	p.update(c.now, c.s.fleet.mayRun)
 	b := &p.backlog
-	c.examined = c.addHeldJobs(p)
 	rest := b.firstHeldTask()
+	c.examined = c.addHeldJobs(p)
 	last, next := c.addJobs(b, startOf(classLongRunning))
 	if next != nil {
 		rest = next.waitingTask()
-		from := last
-		if from.before(b.reportCursor) {
-			from = b.reportCursor
+		if last.before(b.reportCursor) {
+			last = b.reportCursor
 		}
-		b.reportCursor, next = c.addJobs(b, from)
+		b.reportCursor, next = c.addJobs(b, last)
 		if next == nil {
 			b.reportCursor = rank{}
 		}
 	}
 	c.addCount(rest, wait{cause: waitUnexplained, since: c.now}, b.tasks-c.examined)
-	c.examined = 0
 	if len(c.unplaced) > 0 {
 		c.addUnplaced(p, c.unplaced)
 		c.unplaced = nil
