Replaced calls of the scheduler's testbed are set under a mutex

What was seen: go test -race ./keel/schedule reported races of tests that set the functions replacing the store's and the workers' calls while these are made on other goroutines, and of tests that read counters and set the lease check beside the control loop. No race was in the scheduler itself.

The functions are set and read under the testbed's mutex (setCommit, setStart, setStop, setRenew); starts are counted by the fleet's accessor; the others take the mutex or run on the loop. No check or bound has changed.

--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -255,6 +255,13 @@
 	return ids
 }
 
+// StartOrders returns the number of start orders that workers have received.
+func (f *Fleet) StartOrders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Starts
+}
+
 // Stop ends all workers and prevents new ones from starting.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
--- a/keel/schedule/doubt_test.go
+++ b/keel/schedule/doubt_test.go
@@ -22,21 +22,21 @@
 		inner := b.fleet.WorkerClient("leader")
 		var lost atomic.Int32
 		var accepted atomic.Int64
-		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 			if o.Run == 1 && lost.Add(1) <= 2 {
 				<-ctx.Done()
 				return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
 			}
 			return inner.Start(ctx, to, o)
-		}
-		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		})
+		b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 			if strings.HasSuffix(o.Task.String(), ".1") {
 				time.Sleep(200 * time.Millisecond)
 			}
 			reply, err := inner.Stop(ctx, to, o)
 			accepted.Store(int64(time.Since(b.began)))
 			return reply, err
-		}
+		})
 		b.startEpoch(1, "p")
 		time.Sleep(time.Second)
 		b.submit(singleStepJob(firstJob, "p", 2, 100*time.Millisecond), 100*time.Millisecond)
@@ -54,14 +54,14 @@
 func TestFewRenewalsWhileStartInDoubt(t *testing.T) {
 	withTestbed(t, func(b *testbed) {
 		b.addInstance("m1")
-		b.start = func(ctx context.Context, _ worker.Target, _ worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, _ worker.Target, _ worker.StartOrder) (worker.Reply, error) {
 			<-ctx.Done()
 			return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-		}
-		b.stop = func(ctx context.Context, _ worker.Target, _ worker.StopOrder) (worker.Reply, error) {
+		})
+		b.setStop(func(ctx context.Context, _ worker.Target, _ worker.StopOrder) (worker.Reply, error) {
 			<-ctx.Done()
 			return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-		}
+		})
 		b.startEpoch(1, "p")
 		time.Sleep(time.Second)
 		b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
--- a/keel/schedule/ends_test.go
+++ b/keel/schedule/ends_test.go
@@ -16,11 +16,11 @@
 // failCommits makes the store reject all transactions of the leader until the returned function is called.
 func (b *testbed) failCommits() func() {
 	b.onLoop(func() {
-		b.commit = func(context.Context, table.Txn) (table.Result, error) {
+		b.setCommit(func(context.Context, table.Txn) (table.Result, error) {
 			return table.Result{}, fault.New(fault.PlatformUnavailable, "store unavailable").WithOutcome(fault.NotRun)
-		}
+		})
 	})
-	return func() { b.onLoop(func() { b.commit = nil }) }
+	return func() { b.setCommit(nil) }
 }
 
 // Guards against a task that runs again after its end was acknowledged: its job was cancelled, but neither the end nor the
@@ -40,7 +40,7 @@
 		b.startEpoch(2, "p")
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 	})
 }
 
@@ -70,7 +70,7 @@
 		b.startEpoch(2, "p")
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 2)
+		assert.Equal(t, b.starts(), 2)
 	})
 }
 
@@ -98,7 +98,7 @@
 		b.fleet.SetUnreachable(false, host.Instance)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 	})
 }
 
@@ -127,13 +127,13 @@
 		})
 		time.Sleep(3 * time.Second)
 		b.onLoop(b.s.End)
-		b.commit = nil
+		b.setCommit(nil)
 		b.startEpoch(2, "p")
 		time.Sleep(200 * time.Millisecond)
 		b.fleet.SetSilent(false, host.Instance)
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 		b.fleet.SetServiceUnavailable(false)
 	})
 }
@@ -163,11 +163,11 @@
 		b.fleet.SetSilent(false, host.Instance)
 		time.Sleep(2 * time.Second)
 		b.onLoop(b.s.End)
-		b.commit = nil
+		b.setCommit(nil)
 		b.startEpoch(2, "p")
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 2)
+		assert.Equal(t, b.starts(), 2)
 	})
 }
 
@@ -191,6 +191,6 @@
 		b.startEpoch(2, "p")
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 2)
+		assert.Equal(t, b.starts(), 2)
 	})
 }
--- a/keel/schedule/fleet_restart_test.go
+++ b/keel/schedule/fleet_restart_test.go
@@ -188,8 +188,8 @@
 // delayStarts makes starts take the given time in addition, however many there are.
 func (b *testbed) delayStarts(latency time.Duration) {
 	inner := b.fleet.WorkerClient("leader")
-	b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+	b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 		time.Sleep(latency)
 		return inner.Start(ctx, to, o)
-	}
+	})
 }
--- a/keel/schedule/leaseend_test.go
+++ b/keel/schedule/leaseend_test.go
@@ -63,16 +63,16 @@
 		assert.Assert(t, b.rosterRecord(host.ID).LeaseEndMillis > 0)
 		inner := b.store.Client("leader").Commit
 		b.onLoop(func() {
-			b.commit = func(context.Context, table.Txn) (table.Result, error) {
+			b.setCommit(func(context.Context, table.Txn) (table.Result, error) {
 				return table.Result{}, fault.New(fault.PlatformUnavailable, "store unavailable").WithOutcome(fault.NotRun)
-			}
+			})
 		})
 		b.fleet.SetUnreachable(false, host.Instance)
 		time.Sleep(500 * time.Millisecond)
 		expiry := time.Duration(0)
 		b.onLoop(func() {
 			expiry = b.s.workers[host.ID].leaseExpiry - b.s.Now()
-			b.commit = inner
+			b.setCommit(inner)
 		})
 		assert.Assert(t, expiry < 3*time.Second, "the lease was extended: %s", expiry)
 		time.Sleep(time.Second)
@@ -123,10 +123,10 @@
 		b.startEpoch(1, "p")
 		time.Sleep(time.Second)
 		b.onLoop(func() {
-			b.renew = func(context.Context, worker.Target, worker.RenewOrder) (worker.Status, error) {
+			b.setRenew(func(context.Context, worker.Target, worker.RenewOrder) (worker.Status, error) {
 				time.Sleep(10 * time.Millisecond)
 				return worker.Status{}, fault.New(fault.Overloaded, "all control workers are busy").WithOutcome(fault.NotRun)
-			}
+			})
 		})
 		granted, kept := time.Duration(0), time.Duration(0)
 		var host *workerState
@@ -146,7 +146,7 @@
 		time.Sleep(20 * time.Millisecond)
 		b.onLoop(func() { kept = host.leaseExpiry })
 		assert.Assert(t, kept >= granted)
-		b.onLoop(func() { b.renew = nil })
+		b.setRenew(nil)
 	})
 }
 
@@ -165,13 +165,13 @@
 		host := b.hosts()[0]
 		inner := b.fleet.WorkerClient("leader").Renew
 		b.onLoop(func() {
-			b.renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+			b.setRenew(func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
 				status, err := inner(ctx, to, o)
 				if to.ID == host.ID {
 					return worker.Status{}, fault.New(fault.Overloaded, "no other way to the worker").WithOutcome(fault.NotRun)
 				}
 				return status, err
-			}
+			})
 		})
 		time.Sleep(4 * time.Second)
 		b.fleet.SetPartitioned("leader", host.DataCentre, true)
@@ -180,7 +180,7 @@
 		assert.Equal(t, running, total)
 		b.fleet.SetPartitioned("leader", host.DataCentre, false)
 		b.fleet.SetServiceUnavailable(false)
-		b.onLoop(func() { b.renew = nil })
+		b.setRenew(nil)
 		time.Sleep(time.Second)
 	})
 }
--- a/keel/schedule/persist_test.go
+++ b/keel/schedule/persist_test.go
@@ -20,12 +20,12 @@
 // its limits.
 func (b *testbed) rejectInvalid(invalid func(table.Txn) bool) {
 	inner := b.store.Client("leader").Commit
-	b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+	b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 		if invalid(txn) {
 			return table.Result{}, fault.New(fault.Internal, "rejected with status 400").WithOutcome(fault.NotRun)
 		}
 		return inner(ctx, txn)
-	}
+	})
 }
 
 // Guards against a ledger that stores nothing any more because the store rejects one job's row, for example as too large.
@@ -59,7 +59,7 @@
 		})
 		assert.Equal(t, completed, others)
 		assert.Equal(t, b.state(), work.Running)
-		b.commit = nil
+		b.setCommit(nil)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
 	})
@@ -120,7 +120,7 @@
 			withTestbed(t, func(b *testbed) {
 				inner := b.store.Client("leader").Commit
 				lost := false
-				b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+				b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 					if lost || len(txn.Writes) == 0 || txn.Writes[0].Table != ledger.Roster {
 						return inner(ctx, txn)
 					}
@@ -132,7 +132,7 @@
 					}
 					<-ctx.Done()
 					return table.Result{}, fault.New(fault.PlatformUnavailable, "response lost").WithOutcome(fault.Unknown)
-				}
+				})
 				b.addInstance("m1")
 				b.startEpoch(1, "p")
 				time.Sleep(5 * time.Second)
@@ -155,12 +155,12 @@
 func TestRosterRowOfRemovedWorker(t *testing.T) {
 	withTestbed(t, func(b *testbed) {
 		inner := b.store.Client("leader").Commit
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			if len(txn.Writes) > 0 && txn.Writes[0].Table == ledger.Roster {
 				time.Sleep(200 * time.Millisecond)
 			}
 			return inner(ctx, txn)
-		}
+		})
 		b.addInstance("m1")
 		id := ""
 		b.startEpoch(1, "p")
@@ -226,7 +226,7 @@
 		random := rand.New(rand.NewPCG(1, 4))
 		inner := b.store.Client("leader").Commit
 		inFlight, most, twice := make(map[string]bool), 0, 0
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			b.mu.Lock()
 			for _, w := range txn.Writes {
 				if inFlight[w.Name] {
@@ -245,7 +245,7 @@
 			}
 			b.mu.Unlock()
 			return result, err
-		}
+		})
 		jobs := addJobs(500)
 		for round := range 60 {
 			b.onLoop(func() {
@@ -257,13 +257,15 @@
 			time.Sleep(17 * time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, twice, 0)
-		assert.Equal(t, most, maxCommitsInFlight*maxBatchRows)
+		b.mu.Lock()
+		assert.Check(t, twice == 0, "%d rows in two transactions", twice)
+		assert.Check(t, most == maxCommitsInFlight*maxBatchRows, "%d rows in flight", most)
+		b.mu.Unlock()
 		contents, err := ledger.Load(context.Background(), b.store.Client("reader"))
 		assert.NilError(t, err)
 		for _, j := range jobs {
 			assert.Equal(t, contents.JobRecords[j.ID].Progress.Checkpoints["0.0.0"], "59")
 		}
-		b.commit = nil
+		b.setCommit(nil)
 	})
 }
--- a/keel/schedule/race_test.go
+++ b/keel/schedule/race_test.go
@@ -29,7 +29,7 @@
 		time.Sleep(2 * time.Second)
 		inner := b.store.Client("leader").Commit
 		failing := false
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			if failing {
 				return table.Result{}, fault.New(fault.PlatformUnavailable, "store unavailable").WithOutcome(fault.NotRun)
 			}
@@ -37,11 +37,11 @@
 			result, err := inner(ctx, txn)
 			failing = true
 			return result, err
-		}
+		})
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(time.Second)
 		assert.Equal(t, b.state(), work.Running)
-		b.commit = nil
+		b.setCommit(nil)
 		time.Sleep(time.Second)
 		assert.Equal(t, b.state(), work.Completed)
 	})
@@ -56,14 +56,14 @@
 		time.Sleep(2 * time.Second)
 		dropResponse := true
 		inner := b.fleet.WorkerClient("leader").Start
-		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 			if dropResponse {
 				dropResponse = false
 				<-ctx.Done()
 				return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		job := singleStepJob(firstJob, "p", 1, 0)
 		job.Steps[0].LongRunning = true
 		b.submit(job, 0)
@@ -191,7 +191,7 @@
 		b.checker.Cancelled(firstJob)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, b.state(), work.Cancelled)
-		assert.Equal(t, b.fleet.Starts, 0)
+		assert.Equal(t, b.starts(), 0)
 	})
 }
 
@@ -208,11 +208,11 @@
 		time.Sleep(1500 * time.Millisecond)
 		b.submit(singleStepJob(firstJob, "p", 20, 8*time.Second), 8*time.Second)
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, b.fleet.Starts, 20)
+		assert.Equal(t, b.starts(), 20)
 		b.fleet.RegisterLate("m1")
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Equal(t, b.fleet.Starts, 20)
+		assert.Equal(t, b.starts(), 20)
 	})
 }
 
@@ -321,13 +321,13 @@
 		b.startPair()
 		inner := b.fleet.WorkerClient("leader").Stop
 		cut := time.Now().Add(6 * time.Second)
-		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 			if time.Now().After(cut) {
 				return inner(ctx, to, o)
 			}
 			<-ctx.Done()
 			return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-		}
+		})
 		wave := provider.Wave{Number: 1, Instances: []string{"m1"}, DeadlineSeconds: 30, MaxConcurrent: 1}
 		b.checker.AddWave(wave)
 		b.onLoop(func() { b.s.SetWaves([]provider.Wave{wave}) })
@@ -357,12 +357,12 @@
 		})
 		assert.Equal(t, len(hosts), 2)
 		inner := b.fleet.WorkerClient("leader").Stop
-		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 			time.Sleep(200 * time.Millisecond)
 			_, err := inner(ctx, to, o)
 			<-ctx.Done()
 			return worker.Reply{}, fault.Wrap(fault.EndpointFailed, err, "response lost").WithOutcome(fault.Unknown)
-		}
+		})
 		first := provider.Wave{Number: 1, Instances: hosts[:1], DeadlineSeconds: 20, MaxConcurrent: 1}
 		second := provider.Wave{Number: 2, Instances: hosts[1:], DeadlineSeconds: 3, MaxConcurrent: 1}
 		b.checker.AddWave(first)
@@ -390,7 +390,7 @@
 		b.fleet.Crash("m1", 2*time.Second)
 		time.Sleep(15 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
-		assert.Assert(t, b.fleet.Starts <= 3, "%d start orders", b.fleet.Starts)
+		assert.Assert(t, b.starts() <= 3, "%d start orders", b.starts())
 	})
 }
 
@@ -445,7 +445,7 @@
 				assert.Equal(b.t, len(hosts), 1)
 				b.fleet.SetPartitioned("leader", hosts[0].DataCentre, true)
 				time.Sleep(workerLease + 3*time.Second)
-				starts := b.fleet.Starts
+				starts := b.starts()
 				time.Sleep(31 * time.Second)
 				b.fleet.SetPartitioned("leader", hosts[0].DataCentre, false)
 				assert.Equal(b.t, starts, 2, "start orders within the lease and 3 s of the partition")
@@ -497,12 +497,12 @@
 		b.fleet.SetPartitioned("leader", "a", false)
 		inner := b.fleet.WorkerClient("leader").Stop
 		healthy := time.Now().Add(time.Second)
-		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 			if time.Now().Before(healthy) {
 				return worker.Reply{Refusal: worker.Unhealthy}, nil
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		b.startEpoch(2, "p")
 		next := singleStepJob("00000000000000a2", "p", 1, 100*time.Millisecond)
 		b.submit(next, 100*time.Millisecond)
@@ -547,12 +547,12 @@
 		time.Sleep(time.Second)
 		host := b.hosts()[0]
 		inner := b.fleet.WorkerClient("leader").Renew
-		b.renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+		b.setRenew(func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
 			if to.ID == host.ID {
 				return worker.Status{}, fault.New(fault.Overloaded, "all control workers are busy").WithOutcome(fault.NotRun)
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		time.Sleep(2 * time.Second)
 		usable := false
 		b.onLoop(func() { usable = b.s.usable(b.s.workers[host.ID], b.s.Now()) })
@@ -869,12 +869,12 @@
 		b.startEpoch(1, "p")
 		b.onLoop(b.issueTickets)
 		inner := b.fleet.WorkerClient("leader").Start
-		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 			if o.Ticket == "1" {
 				return worker.Reply{Refusal: worker.NoTicket}, nil
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		time.Sleep(500 * time.Millisecond)
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(2 * time.Second)
@@ -911,7 +911,7 @@
 		time.Sleep(500 * time.Millisecond)
 		inner := b.fleet.WorkerClient("leader").Start
 		first := true
-		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 			if first {
 				first = false
 				o.Run += 100000
@@ -919,7 +919,7 @@
 				return worker.Reply{Refusal: worker.Superseded}, err
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, b.state(), work.Completed)
@@ -1013,13 +1013,13 @@
 		time.Sleep(time.Second)
 		inner := b.store.Client("leader").Commit
 		var failed atomic.Bool
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			if failed.Swap(true) {
 				return inner(ctx, txn)
 			}
 			<-ctx.Done()
 			return table.Result{}, fault.New(fault.PlatformUnavailable, "no response").WithOutcome(fault.Unknown)
-		}
+		})
 		b.submit(singleStepJob(firstJob, "p", 1, 100*time.Millisecond), 100*time.Millisecond)
 		time.Sleep(time.Second)
 		assert.Equal(t, b.state(), work.Completed)
@@ -1043,13 +1043,13 @@
 		time.Sleep(500 * time.Millisecond)
 		inner := b.fleet.WorkerClient("leader").Start
 		rejected := false
-		b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+		b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 			if o.Task.Index == 1 && !rejected {
 				rejected = true
 				return worker.Reply{Refusal: worker.NoCapacity}, nil
 			}
 			return inner(ctx, to, o)
-		}
+		})
 		job := singleStepJob(firstJob, "p", 2, time.Second)
 		job.Steps[0].Gang, job.Steps[0].Size.MilliCores = true, 16000
 		b.submit(job, time.Second)
@@ -1158,7 +1158,7 @@
 		job.Steps[0].LongRunning = true
 		b.submit(job, time.Minute)
 		assert.Assert(t, b.timeUntilLongRunning(time.Minute) <= 3*time.Second)
-		assert.Equal(t, b.fleet.Starts, 1)
+		assert.Equal(t, b.starts(), 1)
 	})
 }
 
@@ -1184,7 +1184,7 @@
 				}
 				inner := b.fleet.WorkerClient("leader").Start
 				first := true
-				b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+				b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 					if !first {
 						return inner(ctx, to, o)
 					}
@@ -1197,7 +1197,7 @@
 					})
 					<-ctx.Done()
 					return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-				}
+				})
 				b.submit(longRunningJob(1, 1), 0)
 				time.Sleep(300 * time.Millisecond)
 				b.addInstanceIn("m2", "b")
--- a/keel/schedule/scaling_test.go
+++ b/keel/schedule/scaling_test.go
@@ -20,10 +20,10 @@
 		b.startEpoch(1, "p", "q")
 		time.Sleep(2 * time.Second)
 		inner := b.store.Client("leader").Commit
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			time.Sleep(250 * time.Millisecond)
 			return inner(ctx, txn)
-		}
+		})
 		job := longRunningJob(2, 1)
 		job.Home, job.Steps[0].MaxPerWorker = "a", 1
 		b.submit(job, 0)
--- a/keel/schedule/stop_backlog_test.go
+++ b/keel/schedule/stop_backlog_test.go
@@ -89,10 +89,10 @@
 func (b *testbed) delayStops(delay time.Duration) {
 	inner := b.fleet.WorkerClient("leader")
 	b.onLoop(func() {
-		b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+		b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 			time.Sleep(delay)
 			return inner.Stop(ctx, to, o)
-		}
+		})
 	})
 }
 
--- a/keel/schedule/takeover_test.go
+++ b/keel/schedule/takeover_test.go
@@ -42,7 +42,7 @@
 	withTestbed(t, func(b *testbed) {
 		inner := b.store.Client("leader").Commit
 		calls := make(map[string]int)
-		b.commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
+		b.setCommit(func(ctx context.Context, txn table.Txn) (table.Result, error) {
 			b.mu.Lock()
 			partition := txn.Writes[0].Partition
 			calls[partition]++
@@ -54,7 +54,7 @@
 				return table.Result{}, fault.New(fault.PlatformUnavailable, "response lost").WithOutcome(fault.Unknown)
 			}
 			return inner(ctx, txn)
-		}
+		})
 		b.startEpoch(1, "p")
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, b.ready())
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -35,7 +35,7 @@
 	s       *Scheduler
 	// log is the scheduler's log, discarded if it is nil.
 	log *event.Log
-	// commit, start, stop and renew replace the store's and the workers' calls if they are set.
+	// commit, start, stop and renew replace the store's and the workers' calls if they are set. They are guarded by mu.
 	commit func(ctx context.Context, txn table.Txn) (table.Result, error)
 	start  func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error)
 	stop   func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error)
@@ -118,30 +118,34 @@
 	store := b.store.Client("leader")
 	inner := store.Commit
 	store.Commit = func(ctx context.Context, txn table.Txn) (table.Result, error) {
-		if b.commit != nil {
-			return b.commit(ctx, txn)
+		replaced := replacedCall(b, &b.commit)
+		if replaced != nil {
+			return replaced(ctx, txn)
 		}
 		return inner(ctx, txn)
 	}
 	workers := b.fleet.WorkerClient("leader")
 	innerStart := workers.Start
 	workers.Start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
-		if b.start != nil {
-			return b.start(ctx, to, o)
+		replaced := replacedCall(b, &b.start)
+		if replaced != nil {
+			return replaced(ctx, to, o)
 		}
 		return innerStart(ctx, to, o)
 	}
 	innerStop := workers.Stop
 	workers.Stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
-		if b.stop != nil {
-			return b.stop(ctx, to, o)
+		replaced := replacedCall(b, &b.stop)
+		if replaced != nil {
+			return replaced(ctx, to, o)
 		}
 		return innerStop(ctx, to, o)
 	}
 	innerRenew := workers.Renew
 	workers.Renew = func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
-		if b.renew != nil {
-			return b.renew(ctx, to, o)
+		replaced := replacedCall(b, &b.renew)
+		if replaced != nil {
+			return replaced(ctx, to, o)
 		}
 		return innerRenew(ctx, to, o)
 	}
@@ -167,6 +171,41 @@
 	b.onLoop(b.s.Begin)
 }
 
+// replacedCall returns the function that replaces a call, or nil if none does.
+func replacedCall[F any](b *testbed, call *F) F {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return *call
+}
+
+// setCommit replaces the store's commits; with nil they are made again.
+func (b *testbed) setCommit(call func(context.Context, table.Txn) (table.Result, error)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.commit = call
+}
+
+// setStart replaces the workers' start orders; with nil they are made again.
+func (b *testbed) setStart(call func(context.Context, worker.Target, worker.StartOrder) (worker.Reply, error)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start = call
+}
+
+// setStop replaces the workers' stop orders; with nil they are made again.
+func (b *testbed) setStop(call func(context.Context, worker.Target, worker.StopOrder) (worker.Reply, error)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stop = call
+}
+
+// setRenew replaces the workers' renewals; with nil they are made again.
+func (b *testbed) setRenew(call func(context.Context, worker.Target, worker.RenewOrder) (worker.Status, error)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.renew = call
+}
+
 // recordingProvider returns a client of the instance service that records the orders.
 func (b *testbed) recordingProvider() *provider.Client {
 	inner := b.fleet.InstanceClient()
@@ -202,11 +241,7 @@
 }
 
 // starts returns the number of start orders that workers have received.
-func (b *testbed) starts() int {
-	n := 0
-	b.onLoop(func() { n = b.fleet.Starts })
-	return n
-}
+func (b *testbed) starts() int { return b.fleet.StartOrders() }
 
 // addInstance adds an instance of 16 cores to pool p in data centre a.
 func (b *testbed) addInstance(id string) { b.addInstanceIn(id, "a") }
--- a/keel/schedule/wait_test.go
+++ b/keel/schedule/wait_test.go
@@ -63,7 +63,7 @@
 			b.submit(longRunningJob(2, 1), 0)
 		}},
 		{"the leader's lease is not valid", waitLeaderLease, func(b *testbed) {
-			b.s.LeaseValid = func() bool { return false }
+			b.onLoop(func() { b.s.LeaseValid = func() bool { return false } })
 			b.submit(longRunningJob(2, 1), 0)
 		}},
 	}
--- a/keel/schedule/window_test.go
+++ b/keel/schedule/window_test.go
@@ -108,18 +108,18 @@
 		}
 	}
 	inner := b.fleet.WorkerClient("leader")
-	b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+	b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 		err := pass(ctx)
 		if err != nil {
 			return worker.Reply{}, err
 		}
 		return inner.Start(ctx, to, o)
-	}
-	b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+	})
+	b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 		err := pass(ctx)
 		if err != nil {
 			return worker.Reply{}, err
 		}
 		return inner.Stop(ctx, to, o)
-	}
+	})
 }
