The limit on starts follows its effect on the latency of replies

What callers saw: workers idle beside waiting tasks where each reply to a start takes 120 ms more.

Cause: from a latency of 110 ms on all replies counted as late and kept the limit at its minimum of 384, whatever the number of orders had to do with it.

While most replies are late, the limit is now compared: it is lowered as long as that makes replies faster, and raised by half as long as the latency grows by less than half of the proportion; a comparison covers a whole window of replies to orders sent under the limit, because passes send orders in bursts. A limit that makes replies slower is taken back, and 2 s pass until the next comparison. Where a raised limit could make orders time out (a mean latency above 167 ms), or more than an eighth fail, the limit is lowered as before. An unconditional comparison was tried: TestStopsBesideBacklogOfStarts failed with 3.5 to 5.2 s for the stops, 3.2 allowed; 1.75 s in two runs now. Slower paths of constant latency keep the minimum.

TestLateBacklogAfterRestart, starts that take 120 ms more: idle workers 113 on average, 230 at most, 0.59 of the capacity in use before; 0, 0 and 0.98 now. The test counted jobs that weren't due yet at its end as late, 13 of 200 even without a delay, so that it varied between 179 and 181 of 200, 180 due. Jobs are now judged until they are done or due, with the same bound: 144 of 200 on the code before and 200 now.

--- a/keel/schedule/fleet_restart_test.go
+++ b/keel/schedule/fleet_restart_test.go
@@ -94,6 +94,11 @@
 		samples, idle, inUse, mostIdle = samples+1, idle+float64(n), inUse+share, max(mostIdle, n)
 	}
 	r.submitted.Wait()
+	// Jobs are judged once they are done or due, which many aren't yet.
+	for len(r.due) > 0 {
+		time.Sleep(10 * time.Millisecond)
+		r.countCompleted()
+	}
 	b.t.Logf("idle workers beside waiting tasks: %.0f on average, %d at most; %.2f of the capacity in use; %d starts", idle/samples, mostIdle, inUse/samples, b.starts())
 	for _, pool := range []string{"q", "r"} {
 		b.t.Logf("pool %s: %d of %d jobs in time", pool, r.onTime[pool], r.jobs[pool])
--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -26,6 +26,14 @@
 	// The timeout of an order is orderTimeout or latencyFactor times the average latency, up to maxOrderTimeout.
 	latencyFactor   = 4
 	maxOrderTimeout = time.Second
+	// maxFailedShare is the share of orders without a reply from which on the limit is lowered without a comparison of latencies:
+	// those that time out hide how long a reply would take.
+	maxFailedShare = 0.125
+	// raiseFactor is the factor by which the limit is raised to compare the latencies.
+	raiseFactor = 1.5
+	// comparisonPause is the number of adjustments after a comparison that has shown the limit to make replies late until the
+	// next one.
+	comparisonPause = 20
 	// latencyWeight is the weight of an order in the moving average of the latency.
 	latencyWeight = 1.0 / 64
 )
@@ -38,6 +46,16 @@
 	// ended counts the orders that ended since the last adjustment, late those of them that took longer than lateOrder
 	// or found no goroutine to send them.
 	ended, late int
+	// failed counts the orders without a reply since the last adjustment.
+	failed int
+	// answered counts the replies since the last adjustment to orders that were sent under the present limit, and took is the
+	// time that they took together. unsettled is the number of orders in flight that were sent under the limit before.
+	answered, unsettled int
+	took                time.Duration
+	// reference is the limit and the mean latency with which later ones are compared while most replies are late, without a
+	// limit if there is none; pause is the number of adjustments without a comparison.
+	reference latencySample
+	pause     int
 	// latency is the moving average of the time that an order takes.
 	latency time.Duration
 	// limited is set once the limit has held back an order since the last adjustment, held once it has done so in the
@@ -71,6 +89,14 @@
 	if took > lateOrder || fault.IsKind(err, fault.Overloaded) {
 		w.late++
 	}
+	switch {
+	case err != nil:
+		w.failed++
+	case w.unsettled == 0:
+		w.answered++
+		w.took += took
+	}
+	w.unsettled = max(0, w.unsettled-1)
 }
 
 // timeout returns the timeout of an order, which grows while all orders take long.
@@ -101,15 +127,92 @@
 func (w *orderWindow) adjust() {
 	switch {
 	case 2*w.late > w.ended:
-		w.limit = max(w.minimum, w.limit*3/4)
+		w.adjustLate()
 	case w.limited && 8*w.late <= w.ended:
 		w.limit = min(maxOrderLimit, w.limit+w.limit/8)
+		w.reference = latencySample{}
 	}
 	w.limit = max(w.limit, w.minimum)
-	w.ended, w.late, w.limited = 0, 0, false
+	w.pause = max(0, w.pause-1)
+	w.ended, w.late, w.failed, w.limited = 0, 0, 0, false
 	w.sendWaiting()
 }
 
+// latencySample is the mean latency of the replies under a limit.
+type latencySample struct {
+	limit   int
+	latency time.Duration
+}
+
+// atLimit returns the latency under another limit at and below which the latency doesn't depend on the limit: half way between
+// an equal one and one in proportion.
+func (r latencySample) atLimit(limit int) time.Duration {
+	return r.latency * time.Duration(r.limit+limit) / time.Duration(2*r.limit)
+}
+
+// adjustLate adapts the limit while most replies are late. It is lowered if orders time out or come close to that; otherwise it
+// is lowered as long as this makes the replies faster, and raised as long as this doesn't make them slower.
+func (w *orderWindow) adjustLate() {
+	switch {
+	case float64(w.failed) > maxFailedShare*float64(w.ended) || w.pause > 0:
+		w.lowerLate()
+	case w.answered > 0:
+		w.compare(latencySample{limit: w.limit, latency: w.took / time.Duration(w.answered)})
+	}
+}
+
+// compare adapts the limit after a comparison of the replies under it with the reference.
+func (w *orderWindow) compare(sample latencySample) {
+	r := w.reference
+	slower := r.limit > 0 && w.limit > r.limit && sample.latency > r.atLimit(w.limit)
+	switch {
+	case raiseFactor*float64(sample.latency) > float64(maxOrderTimeout/latencyFactor):
+		// Under a raised limit orders could time out, if the latency grows with it.
+		w.lowerLate()
+	case slower:
+		w.pause = comparisonPause
+		w.setLimit(r.limit)
+	case w.answered < w.limit:
+		// Placement passes send orders in bursts, so that the replies to a part of them show little.
+	case w.limit < r.limit && sample.latency <= r.atLimit(w.limit):
+		w.pause = comparisonPause
+		w.setLimit(w.limit * 3 / 4)
+	case w.limit < r.limit:
+		w.setLimit(r.limit)
+	case r.limit == 0 && w.limit*3/4 > w.minimum:
+		w.reference = sample
+		w.setLimit(w.limit * 3 / 4)
+	default:
+		// A limit close to the minimum is compared with a higher one only.
+		if r.limit == 0 {
+			r = sample
+		}
+		w.reference = latencySample{limit: r.limit, latency: min(r.latency, sample.latency)}
+		w.raiseLate()
+	}
+}
+
+// lowerLate lowers the limit without a comparison.
+func (w *orderWindow) lowerLate() {
+	w.reference = latencySample{}
+	w.setLimit(w.limit * 3 / 4)
+}
+
+// raiseLate raises the limit if it has held back orders, and otherwise begins to measure the latency anew.
+func (w *orderWindow) raiseLate() {
+	limit := w.limit
+	if w.limited {
+		limit = int(raiseFactor * float64(limit))
+	}
+	w.setLimit(limit)
+}
+
+// setLimit sets the limit and begins to measure the latency anew once the orders in flight have ended.
+func (w *orderWindow) setLimit(limit int) {
+	w.limit = min(maxOrderLimit, max(w.minimum, limit))
+	w.unsettled, w.answered, w.took = w.inFlight, 0, 0
+}
+
 // timed is the result of an order with the time that it took.
 type timed struct {
 	worker.Reply
--- a/keel/schedule/window_test.go
+++ b/keel/schedule/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -123,3 +124,77 @@
 		return inner.Stop(ctx, to, o)
 	})
 }
+
+// windowPath is a path to the workers on which a window keeps as many orders in flight as it permits. Orders pass one after
+// another.
+type windowPath struct {
+	// fixed is how long each reply takes, perOrder the time in which an order passes.
+	fixed, perOrder time.Duration
+}
+
+// adjust lets the window work on the path for a number of adjustment intervals and returns the mean limit of the last half.
+func (p windowPath) adjust(w *orderWindow, intervals int) int {
+	type order struct{ sent, passed, due time.Duration }
+	var inFlight []order
+	var now, free time.Duration
+	sum := 0
+	for n := range intervals {
+		for ; now < time.Duration(n+1)*tickInterval; now += time.Millisecond {
+			inFlight = slices.DeleteFunc(inFlight, func(o order) bool {
+				switch {
+				case o.passed <= now && o.passed <= o.due:
+					w.remove(o.passed-o.sent, nil)
+				case o.due <= now:
+					w.remove(o.due-o.sent, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown))
+				default:
+					return false
+				}
+				return true
+			})
+			for w.open() {
+				w.add()
+				free = max(now, free) + p.perOrder
+				inFlight = append(inFlight, order{now, free + p.fixed, now + w.timeout()})
+			}
+		}
+		w.adjust()
+		if n >= intervals/2 {
+			sum += w.limit
+		}
+	}
+	w.inFlight = 0
+	return sum / (intervals - intervals/2)
+}
+
+// Guards against a limit that follows an absolute latency: it stays at its minimum where a reply takes long whatever the
+// number of orders, and it grows without end, so that orders time out, where each order delays the others.
+func TestOrderLimitFollowsItsEffectOnLatency(t *testing.T) {
+	tests := []struct {
+		name           string
+		path           windowPath
+		atLeast, below int
+	}{
+		{"replies take 120 ms", windowPath{fixed: 120 * time.Millisecond}, 1000, maxOrderLimit + 1},
+		{"one order each 0.5 ms", windowPath{perOrder: 500 * time.Microsecond}, minStartLimit, minStartLimit * 5 / 4},
+		{"one order each 1 ms", windowPath{perOrder: time.Millisecond}, minStartLimit, minStartLimit * 5 / 4},
+		{"60 ms, one order each 0.2 ms", windowPath{fixed: 60 * time.Millisecond, perOrder: 200 * time.Microsecond}, minStartLimit, 2 * minStartLimit},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newOrderWindow(initialStartLimit, minStartLimit)
+			limit := test.path.adjust(&w, 200)
+			t.Logf("limit %d", limit)
+			assert.Check(t, limit >= test.atLeast && limit < test.below, "limit %d", limit)
+		})
+	}
+}
+
+// Guards against a limit that stays high when the path has become slow with each order in flight.
+func TestOrderLimitFallsWhenThePathGetsSlow(t *testing.T) {
+	w := newOrderWindow(initialStartLimit, minStartLimit)
+	high := windowPath{fixed: 5 * time.Millisecond}.adjust(&w, 100)
+	low := windowPath{perOrder: 500 * time.Microsecond}.adjust(&w, 200)
+	t.Logf("limit %d, then %d", high, low)
+	assert.Check(t, high > 2000)
+	assert.Check(t, low < 2*minStartLimit, "limit %d", low)
+}
