--- a/keel/schedule/repeat_test.go
+++ b/keel/schedule/repeat_test.go
@@ -17,7 +17,7 @@
 func (b *testbed) loseStartResponses(orders int, carriedOut bool, delay time.Duration) {
 	inner := b.fleet.WorkerClient("leader")
 	sent := make(map[int64]int)
-	b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+	b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 		b.mu.Lock()
 		sent[o.Run]++
 		lost := sent[o.Run] <= orders
@@ -37,7 +37,7 @@
 		}
 		<-ctx.Done()
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-	}
+	})
 }
 
 // Guards against a task that waits for seconds, run by run, while some orders to start runs get no response: each such run was
--- a/keel/schedule/unsettled_test.go
+++ b/keel/schedule/unsettled_test.go
@@ -24,18 +24,18 @@
 		return true
 	}
 	noResponse := fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
-	b.start = func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
+	b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
 		if lost(ctx, to) {
 			return worker.Reply{}, noResponse
 		}
 		return inner.Start(ctx, to, o)
-	}
-	b.stop = func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+	})
+	b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
 		if lost(ctx, to) {
 			return worker.Reply{}, noResponse
 		}
 		return inner.Stop(ctx, to, o)
-	}
+	})
 }
 
 // Guards against a task whose start gets no response and that waits for the response to its stop without a bound: the
