A run that is listed before its start order ends is stopped if it is to be

What callers could see: a run of a cancelled job goes on to its end, and a long-running one without an end. The run was to be stopped while its start order was in flight, so the stop was left to the end of that order. Meanwhile the worker listed the run. The same holds for a member of a gang of which another member was not started.

TestListedRunIsStoppedAfterStartWithoutResponse failed before: "listed_start_test.go:37: assertion failed: 1 (int) != 0 (int)", the worker still has the run 3 s after the cancel. Now the stop is sent when the order ends.

--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -160,7 +160,7 @@
 		}
 		switch {
 		case r.confirmedAt != 0 && err != nil:
-			// The worker has listed the run meanwhile.
+			s.continueListed(r)
 		case r.mayRepeatStart(err):
 			r.repeats++
 			s.sendStart(r, order)
@@ -172,6 +172,14 @@
 	})
 }
 
+// continueListed continues a run that the worker has listed while its start order was in flight.
+func (s *Scheduler) continueListed(r *run) {
+	if r.stopping {
+		s.sendStop(r)
+	}
+	s.scheduleRenewal(r.worker, minRenewInterval)
+}
+
 // isUnanswered reports whether a start order of the run has had no response, and nothing else has shown what became of it.
 func (r *run) isUnanswered() bool { return r.inDoubt || r.repeats > 0 && r.confirmedAt == 0 }
 
