A rejected repeat of a start order doesn't stop a run that the worker lists

What callers could see: work that begins anew, and long-running tasks that stop. A start order without a response was sent again; before the reply the worker listed the run. If the worker then rejected the repeat, for example because it was unhealthy at that moment or because the deadline in the order, which a repeat doesn't renew, had passed, the run was marked as in doubt and stopped, and so were the members of its gang. The stop is bound to no disruption budget.

TestListedRunGoesOnAfterRepeatIsRejected failed before for each of three rejections: "completed after 10s" instead of 3.5 s, with 50 start orders (14 for unhealthy) instead of 2. Now such a reply changes nothing: the list has shown that the run is there, and the next one shows its end.

--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -196,6 +196,8 @@
 	switch {
 	case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.OtherBoot):
 		s.handleStartReply(r, reply, nil)
+	case r.confirmedAt != 0:
+		s.continueListed(r)
 	case err == nil && reply.Refusal == worker.Superseded:
 		// The run has ended, or a later one is known there, so that it can't start any more: the worker's next list shows it.
 		s.recordClock(r.worker, reply)
