The limit on orders is compared by replies while most are late only

What callers could see: tasks that wait while the path to the workers becomes slow, as the leader sends still more orders. The latency under the present limit was the mean of all replies since the limit was last set. After minutes without late replies this mean says that replies are fast, and the limit was set back and raised by half before it was lowered.

TestLimitIsComparedWithRecentReplies failed before: "10000 earlier replies: the limit rose to 192", from 128, by [96 128 192 144 108 81 ...]; without earlier replies [96 72 81 ...]. Now the mean begins anew while most replies aren't late, and both are equal.

--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -132,6 +132,10 @@
 		w.limit = min(maxOrderLimit, w.limit+w.limit/8)
 		w.reference = latencySample{}
 	}
+	if w.ended > 0 && 2*w.late <= w.ended {
+		// Only replies while most are late show whether the limit makes them late.
+		w.answered, w.took = 0, 0
+	}
 	w.limit = max(w.limit, w.minimum)
 	w.pause = max(0, w.pause-1)
 	w.ended, w.late, w.failed, w.limited = 0, 0, 0, false
