The timeout of orders follows replies, not orders that are lost

Cause: the moving average of the latency, from which the timeout follows, counted each lost order with its own timeout, so that it rose to its maximum of 1 s while replies took some milliseconds.

Only replies count now, unless most orders get none, as on a path that is slower than the timeout. TestTimeoutFollowsReplies/some_lost failed before: 1 s instead of 220 ms. A variant that also left lost orders out of the late ones failed TestStopsBesideBacklogOfStarts (3.45 s, 3.2 allowed) and wasn't taken.

--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -46,6 +46,8 @@
 	// ended counts the orders that ended since the last adjustment, late those of them that took longer than lateOrder
 	// or found no goroutine to send them.
 	ended, late int
+	// mostlyFailed is set while most orders get no reply: only then the time until they are given up tells how long replies take.
+	mostlyFailed bool
 	// failed counts the orders without a reply since the last adjustment.
 	failed int
 	// answered counts the replies since the last adjustment to orders that were sent under the present limit, and took is the
@@ -56,7 +58,7 @@
 	// limit if there is none; pause is the number of adjustments without a comparison.
 	reference latencySample
 	pause     int
-	// latency is the moving average of the time that an order takes.
+	// latency is the moving average of the time until a reply, or until an order is given up while mostlyFailed is set.
 	latency time.Duration
 	// limited is set once the limit has held back an order since the last adjustment, held once it has done so in the
 	// last placement pass.
@@ -85,7 +87,9 @@
 func (w *orderWindow) remove(took time.Duration, err error) {
 	w.inFlight--
 	w.ended++
-	w.latency += time.Duration(latencyWeight * float64(took-w.latency))
+	if err == nil || w.mostlyFailed {
+		w.latency += time.Duration(latencyWeight * float64(took-w.latency))
+	}
 	if took > lateOrder || fault.IsKind(err, fault.Overloaded) {
 		w.late++
 	}
@@ -137,6 +141,9 @@
 		w.answered, w.took = 0, 0
 	}
 	w.limit = max(w.limit, w.minimum)
+	if w.ended > 0 {
+		w.mostlyFailed = 2*w.failed > w.ended
+	}
 	w.pause = max(0, w.pause-1)
 	w.ended, w.late, w.failed, w.limited = 0, 0, 0, false
 	w.sendWaiting()
--- a/keel/schedule/window_test.go
+++ b/keel/schedule/window_test.go
@@ -198,3 +198,31 @@
 	assert.Check(t, high > 2000)
 	assert.Check(t, low < 2*minStartLimit, "limit %d", low)
 }
+
+// Guards against orders that are given up late because others are lost: each lost order then holds its task for a second
+// instead of orderTimeout. While hardly any order gets a reply, the timeout has to grow with the time that replies may take.
+func TestTimeoutFollowsReplies(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lost is the number of lost orders of each ten.
+		lost    int
+		timeout time.Duration
+	}{{"some_lost", 4, orderTimeout}, {"most_lost", 9, maxOrderTimeout}} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newOrderWindow(initialStartLimit, minStartLimit)
+			lost := fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
+			for range 100 {
+				for n := range 10 {
+					w.add()
+					if n < test.lost {
+						w.remove(w.timeout(), lost)
+					} else {
+						w.remove(5*time.Millisecond, nil)
+					}
+				}
+				w.adjust()
+			}
+			assert.Equal(t, w.timeout(), test.timeout)
+		})
+	}
+}
