A task that crashes its workers is kept apart from others and given up

Cause: the runs that end with their worker left no trace, so that nothing bounded their starts; and a speculative task whose worker had just fallen silent was copied at once, which crashed a second worker.

Change: a worker has crashed if the instance list shows its instance as down or with another worker, or if another one responds at its address, and it neither drained nor was ordered away; silence alone isn't a crash. Each run of a crashed worker gets a record in its job's row: how long it is known to have lasted, whether it may have been the cause, whether anything else ran there. Suspected tasks start once their crashes are stored, on workers of their own, one after the other; after a second crash alone. checkAttempts fails a job after two crashes with nothing else on the worker, three of which one was such, or four. A run on a silent worker that may have crashed gets no copy.

The emulator breaks a gang when the worker of one of its members ends.

--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -166,6 +166,9 @@
 	for id, r := range w.runs {
 		w.fleet.Checker.recordEnd(w, r, "")
 		delete(w.runs, id)
+		if r.step.Gang && !r.gangIncomplete {
+			w.endGang(r, "")
+		}
 	}
 	w.wakeLocked()
 	if w.timer != nil {
--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -50,6 +50,11 @@
 	LedgerProgress
 	TaskFailed
 	AttemptsExhausted
+	WorkerCrashed
+	TaskSuspected
+	TaskCleared
+	CrashesExhausted
+	WorkerReserved
 )
 
 var scheduleEvents = []Definition{
@@ -98,5 +103,10 @@
 	{LedgerProgress, "ledger_progress", logrus.InfoLevel, "the jobs whose changes the ledger has stored since the last line, with the longest time that one waited for it, and the jobs whose changes wait, with the longest wait so far", []string{"stored", "longest_ms", "waiting", "oldest_ms", "commit_ms"}},
 	{TaskFailed, "task_failed", logrus.InfoLevel, "a worker reported a failed run, with the task's failed runs so far, the limit of its queue (0 if it isn't known), the version of the configuration (0 if there is none) and whether an earlier leader started the run", []string{"task", "run", "worker", "failures", "limit", "queue", "config", "earlier_epoch"}},
 	{AttemptsExhausted, "attempts_exhausted", logrus.InfoLevel, "a job fails because a task has failed as often as its queue allows, with the inputs of the decision as in task_failed and the number of failed runs that earlier leaders started", []string{"job", "task", "failures", "limit", "queue", "config", "earlier_epochs"}},
+	{WorkerCrashed, "worker_crashed", logrus.WarnLevel, "a worker is known to have crashed, or (unconfirmed) was silent until its lease expired while nothing tells whether it crashed; with the number of its runs, of those that may have caused it, and the time since its last response", []string{"worker", "instance", "pool", "reason", "runs", "suspects", "heard_ms", "unconfirmed"}},
+	{TaskSuspected, "task_suspected", logrus.WarnLevel, "a worker has crashed under a run that may have caused it, so that the task runs apart from others; with the time for which the run is known to have lasted, whether nothing else ran there, and the task's crashes so far (alone: with nothing else on the worker; unconfirmed: the worker may only have been silent)", []string{"task", "run", "worker", "survived_ms", "alone", "crashes", "crashes_alone", "unconfirmed"}},
+	{TaskCleared, "task_cleared", logrus.InfoLevel, "a run of a suspected task has lasted long enough for others to run beside it", []string{"task", "run", "worker", "survived_ms", "crashes"}},
+	{CrashesExhausted, "crashes_exhausted", logrus.WarnLevel, "a job fails because a task has crashed its workers, with the crashes as in task_suspected", []string{"job", "task", "crashes", "crashes_alone", "unconfirmed", "queue"}},
+	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -1,15 +1,25 @@
 package schedule
 
 import (
+	"strconv"
+
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/work"
 )
 
-// checkAttempts fails the job if a task has failed as often as the job's queue allows. It is called when a failed run is
-// recorded and when the queue becomes known or changes. Without a queue it decides nothing. Without a configuration the limit
+// checkAttempts fails the job if a task has crashed its workers, or has failed as often as the job's queue allows. It is called
+// when a failed run or a crash is recorded and when the queue becomes known or changes. Without a queue only crashes count. Without a configuration the limit
 // is only that of the job's acceptance, so the job is held until there is one.
 func (s *Scheduler) checkAttempts(j *job) {
-	if j.queue == nil || !j.open() {
+	if !j.open() {
+		return
+	}
+	deadly := s.deadlyTask(j)
+	if deadly != nil {
+		s.failForCrashes(deadly)
+		return
+	}
+	if j.queue == nil {
 		return
 	}
 	t := s.exhaustedTask(j)
@@ -25,6 +35,17 @@
 	s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
 }
 
+// failForCrashes ends the job of a task that has crashed its workers.
+func (s *Scheduler) failForCrashes(t *task) {
+	j, h := t.job(), t.history()
+	s.Log.WriteFunc(event.CrashesExhausted, func() event.Fields {
+		return event.Fields{
+			"job": j.ID, "task": t.id().String(), "crashes": len(h.runs), "crashes_alone": h.alone, "unconfirmed": h.unconfirmed, "queue": j.Queue,
+		}
+	})
+	s.endJob(j, work.Failed, "task "+t.id().String()+" has crashed "+strconv.Itoa(len(h.runs)-h.unconfirmed)+" workers")
+}
+
 // exhaustedTask returns a task of the job that has failed as often as the queue allows, or nil. Long-running tasks have no
 // limit, and failures of a task that is done don't count.
 func (s *Scheduler) exhaustedTask(j *job) *task {
--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -25,6 +25,8 @@
 	isAvoided        unavailability = "avoided"
 	hasFailures      unavailability = "failures"
 	isReclaimed      unavailability = "reclaimed"
+	hasIsolatedRuns  unavailability = "isolated_runs"
+	isReserved       unavailability = "reserved"
 )
 
 // usable reports whether the worker may get tasks.
@@ -57,6 +59,20 @@
 
 // unavailableFor returns why the worker gets no tasks, apart from being reclaimed and from failures on it.
 func (s *Scheduler) unavailableFor(w *workerState, now time.Duration) unavailability {
+	switch reason := s.unavailableForAll(w, now); {
+	case reason != "":
+		return reason
+	case w.isolated > 0:
+		return hasIsolatedRuns
+	case now < w.reservedUntil:
+		return isReserved
+	}
+	return ""
+}
+
+// unavailableForAll returns why the worker gets no tasks, suspected ones included, apart from being reclaimed and from failures
+// on it.
+func (s *Scheduler) unavailableForAll(w *workerState, now time.Duration) unavailability {
 	switch {
 	case !w.registered || w.removed:
 		return notRegistered
--- /dev/null
+++ b/keel/schedule/crash.go
@@ -0,0 +1,432 @@
+package schedule
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/provider"
+	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
+)
+
+const (
+	// recentStart is the survival below which a run is the likeliest cause of a crash.
+	recentStart = 100 * time.Millisecond
+	// startCrashTime is the survival from which a run isn't the likely cause of a crash.
+	startCrashTime = time.Second
+	// minIsolationTime is the shortest survival from which others may run beside a suspected task.
+	minIsolationTime = 300 * time.Millisecond
+	// provenTime is the survival from which crashes no longer count against a task, neither this nor earlier ones.
+	provenTime = 10 * time.Second
+	// A task has crashed its workers after crashesAlone crashes with nothing else on the worker, after crashesWithAlone of
+	// which one was such, or after maxCrashes. The users' pages allow a job to be given up after two.
+	crashesAlone     = 2
+	crashesWithAlone = 3
+	maxCrashes       = 4
+)
+
+// crashHistory counts the crashes under a task, or under a gang.
+type crashHistory struct {
+	// runs lists the numbers of the runs that ended in a crash.
+	runs []int64
+	// suspect counts those that may have caused it, alone those of them with nothing else on the worker, and unconfirmed those
+	// of which it isn't known whether the worker crashed.
+	suspect, alone, unconfirmed int
+	// longest is the longest survival of these runs.
+	longest time.Duration
+	// change is the number of the job's change that must be stored before the task starts again.
+	change uint64
+	// cleared is set once a run has lasted long enough since the last crash.
+	cleared bool
+}
+
+// suspicion is how far a task is kept apart from others.
+type suspicion int
+
+const (
+	// unsuspected tasks run anywhere.
+	unsuspected suspicion = iota
+	// suspected tasks run beside other suspected ones only.
+	suspected
+	// accused tasks run alone.
+	accused
+)
+
+func (h *crashHistory) suspicion() suspicion {
+	switch {
+	case h == nil || h.cleared:
+		return unsuspected
+	case h.suspect > 1 || len(h.runs) > crashesAlone:
+		return accused
+	case h.suspect > 0 || len(h.runs) > 1:
+		return suspected
+	}
+	return unsuspected
+}
+
+// hasCrashedWorkers reports whether the task is certain to crash its workers.
+func (h *crashHistory) hasCrashedWorkers() bool {
+	if h == nil {
+		return false
+	}
+	confirmed := len(h.runs) - h.unconfirmed
+	return h.alone >= crashesAlone || h.alone > 0 && confirmed >= crashesWithAlone || confirmed >= maxCrashes
+}
+
+// isHeld reports whether the task may not start before it is known whether the workers of its runs have crashed.
+func (h *crashHistory) isHeld() bool {
+	return h != nil && len(h.runs) >= maxCrashes && h.unconfirmed > 0
+}
+
+// isolationTime returns for how long a run must have lasted before others may run beside it.
+func (h *crashHistory) isolationTime() time.Duration {
+	return min(provenTime, max(minIsolationTime, 2*h.longest))
+}
+
+// history returns the crashes of the task, or of its gang; nil if there are none.
+func (t *task) history() *crashHistory {
+	if t.step.spec.Gang {
+		return t.step.crashes
+	}
+	return t.crashes
+}
+
+// suspicion returns how far the task is kept apart from others.
+func (t *task) suspicion() suspicion { return t.history().suspicion() }
+
+// survived returns for how long the run is known to have lasted: until the worker's last response.
+func (r *run) survived() time.Duration {
+	if r.confirmedAt == 0 {
+		return 0
+	}
+	return max(0, r.worker.clockReadAt-r.confirmedAt)
+}
+
+// mayHaveLeft reports whether the worker may have ended by an order to its instance or because it was draining.
+func (s *Scheduler) mayHaveLeft(w *workerState) bool {
+	ordered, known := s.fleet.lastOrder[w.Instance]
+	_, inherited := s.InstanceOrdersFrom[w.Instance]
+	switch {
+	case w.Draining || w.orderPending:
+		return true
+	case known && ordered > w.firstRegistered && s.Now()-ordered < lateOrderTime:
+		return true
+	}
+	return inherited && s.Now()-s.began < lateOrderTime
+}
+
+// lateOrderTime is the time within which an order to an instance, of which the outcome isn't known, may be carried out.
+const lateOrderTime = 15 * time.Second
+
+// isReplaced reports whether the worker's registration has expired and another worker is registered on its instance.
+func (s *Scheduler) isReplaced(w *workerState) bool {
+	if w.registered || w.Instance == "" {
+		return false
+	}
+	for id, other := range s.registrations {
+		if id != w.ID && other.Instance == w.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// removeReplaced removes a worker at whose address another one responds. It has crashed, unless it left.
+func (s *Scheduler) removeReplaced(w *workerState) {
+	const reason = "another worker responds at its address"
+	if s.mayHaveLeft(w) {
+		s.removeWorker(w, reason)
+		return
+	}
+	s.removeCrashed(w, reason)
+}
+
+// removeUnlistedWorker removes a worker that the list no longer shows on its instance.
+func (s *Scheduler) removeUnlistedWorker(w *workerState, i provider.Instance) {
+	reason := "instance list reports state " + string(i.State) + " with worker " + strconv.Quote(i.Worker)
+	left := w.Draining
+	switch i.State {
+	case provider.Moving, provider.Maintenance:
+		left = true
+	case provider.Up:
+		left = left || i.Pool != w.Pool && w.Pool != "" || s.mayHaveLeft(w)
+	}
+	if left {
+		s.removeWorker(w, reason)
+		return
+	}
+	s.removeCrashed(w, reason)
+}
+
+// removeCrashed removes a worker that has crashed, and ends the jobs with tasks that are certain to have caused it.
+func (s *Scheduler) removeCrashed(w *workerState, reason string) {
+	if w.removed {
+		return
+	}
+	jobs := s.recordCrash(w, reason, false)
+	s.removeWorker(w, reason)
+	for _, j := range jobs {
+		s.checkAttempts(j)
+	}
+	// Suspected tasks start again once their crashes are stored.
+	s.ledger.flush()
+}
+
+// recordCrash records a crash under each run of the worker and returns the jobs of these runs. Without confirmation only the
+// runs count that may have caused it.
+func (s *Scheduler) recordCrash(w *workerState, reason string, unconfirmed bool) []*job {
+	runs := sortedRuns(w.runs)
+	limit := suspectLimit(runs)
+	suspects := 0
+	var jobs []*job
+	for _, r := range runs {
+		survived := r.survived()
+		suspect := survived < limit
+		if survived >= provenTime || unconfirmed && !suspect || r.task.done || !r.task.job().open() {
+			continue
+		}
+		if suspect {
+			suspects++
+		}
+		id := r.task.id()
+		s.addCrash(r.task, work.CrashedRun{
+			Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
+			SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Alone: suspect && w.runsOnly(r.task), Unconfirmed: unconfirmed,
+		})
+		if !slices.Contains(jobs, r.task.job()) {
+			jobs = append(jobs, r.task.job())
+		}
+	}
+	if !unconfirmed {
+		s.Metrics.addCrash(w.Pool)
+		if w.isolated > 0 && w.pool != nil {
+			w.pool.trialCrashes[w.Instance] = s.Now()
+		}
+	}
+	s.Log.Write(event.WorkerCrashed, event.Fields{
+		"worker": w.ID, "instance": w.Instance, "pool": w.Pool, "reason": reason, "runs": len(runs), "suspects": suspects,
+		"heard_ms": (s.Now() - w.clockReadAt).Milliseconds(), "unconfirmed": unconfirmed,
+	})
+	return jobs
+}
+
+// suspectLimit returns the survival below which the runs of a worker may have caused its crash. The runs that began last are
+// the likeliest cause.
+func suspectLimit(runs []*run) time.Duration {
+	if slices.ContainsFunc(runs, func(r *run) bool { return r.survived() < recentStart }) {
+		return recentStart
+	}
+	return startCrashTime
+}
+
+// runsOnly reports whether nothing but the task, or members of its gang, runs on the worker.
+func (w *workerState) runsOnly(t *task) bool {
+	for _, r := range w.runs {
+		sameGang := t.step.spec.Gang && r.task.step == t.step
+		if r.task != t && !sameGang {
+			return false
+		}
+	}
+	return len(w.orphans) == 0
+}
+
+// addCrash adds a crash to the history of the task and to the job's record.
+func (s *Scheduler) addCrash(t *task, c work.CrashedRun) {
+	j := t.job()
+	if slices.ContainsFunc(j.crashes, c.IsSameRun) {
+		return
+	}
+	j.crashes = append(j.crashes, c)
+	t.countCrash(c)
+	h := t.history()
+	h.cleared = false
+	h.change = s.markDirty(j)
+	if c.Unconfirmed {
+		s.addDoubt(c, j)
+	}
+	if t.suspicion() > unsuspected {
+		s.Log.WriteFunc(event.TaskSuspected, func() event.Fields {
+			return event.Fields{
+				"task": t.id().String(), "run": c.Run, "worker": c.Worker, "survived_ms": c.SurvivedMillis, "alone": c.Alone,
+				"crashes": len(h.runs), "crashes_alone": h.alone, "unconfirmed": h.unconfirmed,
+			}
+		})
+	}
+}
+
+// countCrash adds a crash to the history of the task, or of its gang, of which several members may be lost in one run.
+func (t *task) countCrash(c work.CrashedRun) {
+	h := t.history()
+	if h == nil {
+		h = &crashHistory{}
+		if t.step.spec.Gang {
+			t.step.crashes = h
+		} else {
+			t.crashes = h
+		}
+	}
+	h.longest = max(h.longest, time.Duration(c.SurvivedMillis)*time.Millisecond)
+	if slices.Contains(h.runs, c.Run) {
+		return
+	}
+	h.runs = append(h.runs, c.Run)
+	if c.Suspect {
+		h.suspect++
+	}
+	if c.Unconfirmed {
+		h.unconfirmed++
+	} else if c.Alone {
+		h.alone++
+	}
+}
+
+// restoreCrashes applies the crashes that earlier leaders stored.
+func (s *Scheduler) restoreCrashes(j *job, crashes []work.CrashedRun) {
+	for _, c := range crashes {
+		t := s.crashedTask(j, c)
+		if t == nil {
+			continue
+		}
+		j.crashes = append(j.crashes, c)
+		t.countCrash(c)
+		t.nextRun = max(t.nextRun, c.Run+1)
+		if c.Unconfirmed {
+			s.addDoubt(c, j)
+		}
+	}
+}
+
+func (s *Scheduler) crashedTask(j *job, c work.CrashedRun) *task {
+	return s.task(j, work.TaskID{Job: j.ID, Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
+}
+
+// keepCrashes keeps the job's crashes for which keep returns true, and counts them anew.
+func (s *Scheduler) keepCrashes(j *job, keep func(*work.CrashedRun) bool) {
+	all := j.crashes
+	j.crashes = nil
+	cleared := make(map[*task]bool)
+	for _, c := range all {
+		t := s.crashedTask(j, c)
+		cleared[t] = t.history().cleared
+	}
+	for t := range cleared {
+		t.crashes, t.step.crashes = nil, nil
+	}
+	change := s.markDirty(j)
+	for _, c := range all {
+		if !keep(&c) {
+			continue
+		}
+		t := s.crashedTask(j, c)
+		j.crashes = append(j.crashes, c)
+		t.countCrash(c)
+		t.history().change, t.history().cleared = change, cleared[t]
+	}
+}
+
+// deadlyTask returns a task of the job that is certain to crash its workers, or nil.
+func (s *Scheduler) deadlyTask(j *job) *task {
+	for _, c := range j.crashes {
+		t := s.crashedTask(j, c)
+		if !t.done && t.history().hasCrashedWorkers() {
+			return t
+		}
+	}
+	return nil
+}
+
+// checkSurvival clears the task of a run that has lasted long enough, and forgets its crashes once it is proven.
+func (s *Scheduler) checkSurvival(r *run) {
+	t := r.task
+	h := t.history()
+	if h == nil || !t.job().open() {
+		return
+	}
+	survived := r.survived()
+	if r.isolation != unsuspected && survived >= h.isolationTime() {
+		r.setIsolation(unsuspected)
+		h.cleared = true
+		s.Log.WriteFunc(event.TaskCleared, func() event.Fields {
+			return event.Fields{"task": t.id().String(), "run": r.number, "worker": r.worker.ID, "survived_ms": survived.Milliseconds(), "crashes": len(h.runs)}
+		})
+		s.schedulePlan()
+	}
+	if survived >= provenTime {
+		s.keepCrashes(t.job(), func(c *work.CrashedRun) bool { return s.crashedTask(t.job(), *c).history() != h })
+	}
+}
+
+// doubt is a worker that was silent until its lease expired, with the jobs of the runs that may have crashed it.
+type doubt struct {
+	instance string
+	since    time.Duration
+	jobs     map[*job]bool
+}
+
+func (s *Scheduler) addDoubt(c work.CrashedRun, j *job) {
+	d := s.doubts[c.Worker]
+	if d == nil {
+		d = &doubt{instance: c.Instance, since: s.Now(), jobs: make(map[*job]bool)}
+		s.doubts[c.Worker] = d
+	}
+	d.jobs[j] = true
+}
+
+// resolveDoubt applies that the worker has crashed, or that it hasn't or that it will never be known.
+func (s *Scheduler) resolveDoubt(id string, crashed bool) {
+	d := s.doubts[id]
+	if d == nil {
+		return
+	}
+	delete(s.doubts, id)
+	for j := range d.jobs {
+		if !j.open() {
+			continue
+		}
+		s.keepCrashes(j, func(c *work.CrashedRun) bool {
+			if c.Worker == id && c.Unconfirmed {
+				c.Unconfirmed = false
+				return crashed
+			}
+			return true
+		})
+		s.checkAttempts(j)
+	}
+	s.schedulePlan()
+}
+
+// resolveListedDoubts resolves the doubts that an instance list, requested at the time sent, answers.
+func (s *Scheduler) resolveListedDoubts(sent time.Duration) {
+	for id, d := range s.doubts {
+		i, listed := s.fleet.instances[d.instance]
+		switch {
+		case d.since+listLag > sent:
+		case !listed:
+			if s.fleet.isGone(d.instance) {
+				s.resolveDoubt(id, false)
+			}
+		case i.State == provider.Down || i.State == provider.Up && i.Worker != id:
+			s.resolveDoubt(id, true)
+		default:
+			s.resolveDoubt(id, false)
+		}
+	}
+}
+
+// resolveReplacedDoubt applies that a worker has registered on the instance of one that was silent and isn't registered.
+func (s *Scheduler) resolveReplacedDoubt(r worker.Registration) {
+	for id, d := range s.doubts {
+		_, registered := s.registrations[id]
+		if id != r.ID && d.instance == r.Instance && r.Instance != "" && !registered {
+			s.resolveDoubt(id, true)
+		}
+	}
+}
+
+// mayHaveCrashed reports whether nothing shows that the silent worker is alive: no instance list that was requested well
+// after its last response has it.
+func (w *workerState) mayHaveCrashed() bool {
+	return w.unresponsiveSince != 0 && w.listedUpAt < w.unresponsiveSince+listLag
+}
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -166,6 +165,7 @@
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
+	s.resolveListedDoubts(sent)
 	unknown := make(map[string]time.Duration)
 	for _, i := range all {
 		s.restoreListed(i, sent)
@@ -260,8 +260,10 @@
 	}
 	w.unlisted = false
 	if i.Worker != w.ID {
-		s.removeWorker(w, "instance list reports state "+string(i.State)+" with worker "+strconv.Quote(i.Worker))
+		s.removeUnlistedWorker(w, i)
+		return
 	}
+	w.listedUpAt = sent
 }
 
 // isGone reports whether two instance lists in a row lack the instance. One may lack it because instances came or went
--- a/keel/schedule/gang.go
+++ b/keel/schedule/gang.go
@@ -10,19 +10,34 @@
 	if !pl.s.starts.open() {
 		return
 	}
+	if step.crashes.suspicion() > unsuspected {
+		pl.placeSuspectedGang(step)
+		return
+	}
+	pl.startGang(step, nil)
+}
+
+// startGang starts all members of the gang on the given workers, or on the pool's usable ones if none are given, and reports
+// whether it did.
+func (pl *planner) startGang(step *stepState, from *candidates) bool {
 	// All members get the same run number, the highest that one of them needs.
 	number := int64(0)
 	reserved := make(reservations)
 	selected := make([]*workerState, len(step.tasks))
 	for i, t := range step.tasks {
 		if !t.needsRun() || pl.now < t.notBefore {
-			return
+			return false
+		}
+		var w *workerState
+		if from != nil {
+			w = pl.selectFrom(from, step, t, reserved)
+		} else {
+			w = pl.selectWorker(step, t, reserved)
 		}
-		w := pl.selectWorker(step, t, reserved)
 		if w == nil {
 			pl.allowDataCentres(step, 1)
 			pl.addMissing(step, len(step.tasks)-i)
-			return
+			return false
 		}
 		reserved.add(w, step.size())
 		selected[i] = w
@@ -31,6 +46,7 @@
 	for i, t := range step.tasks {
 		pl.s.start(t, selected[i], number, step.tickets.forWorker(selected[i]))
 	}
+	return true
 }
 
 // reservations holds what the members of a gang take on each worker before any of them starts.
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -91,6 +91,9 @@
 func (s *Scheduler) checkRuns(now time.Duration) {
 	for _, w := range s.workers {
 		if w.unresponsiveSince != 0 {
+			for _, r := range w.runs {
+				r.checkSpeculation(now)
+			}
 			continue
 		}
 		if w.Draining {
@@ -100,6 +103,7 @@
 		stalled := make(map[work.TaskID]*run)
 		for id, r := range w.runs {
 			r.checkSpeculation(now)
+			s.checkSurvival(r)
 			if r.isStalled() {
 				stalled[id] = r
 			}
@@ -137,14 +141,18 @@
 }
 
 // needsSpeculativeRun reports whether a second run of the task should start: its step is speculative, and its only run
-// is on an unresponsive worker or takes much longer than estimated.
+// is on an unresponsive worker or takes much longer than estimated. A run that may have crashed its worker, or that is kept
+// apart from others, gets none.
 func (t *task) needsSpeculativeRun(now time.Duration) bool {
 	spec := t.step.spec
-	if !spec.Speculative || t.done || len(t.runs) != 1 {
+	if !spec.Speculative || t.done || len(t.runs) != 1 || t.suspicion() > unsuspected {
 		return false
 	}
 	r := t.runs[0]
-	return r.worker.unresponsiveSince != 0 || r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
+	if r.worker.unresponsiveSince != 0 {
+		return r.survived() >= startCrashTime || !r.worker.mayHaveCrashed()
+	}
+	return r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
 }
 
 // checkSpeculation marks the run's job if the task needs a speculative run.
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -44,7 +44,9 @@
 	// change that must be stored before the first task starts there.
 	remoteDataCentres map[string]uint64
 	failures          []work.FailedRun
-	checkpoints       map[string]string
+	// crashes lists the runs that ended with a worker that crashed.
+	crashes     []work.CrashedRun
+	checkpoints map[string]string
 	// waiting is the number of tasks that need a run and whose step is ready.
 	waiting int
 	// maySpeculate is set if some task may need a speculative run.
@@ -85,6 +87,8 @@
 	// criticalPath is the estimated time from the step's start to the end of the longest chain of steps that depend on
 	// it.
 	criticalPath time.Duration
+	// crashes counts the crashes under a gang, nil if there are none.
+	crashes *crashHistory
 	// tickets holds the tickets of the queue's placement policy.
 	tickets stepTickets
 }
@@ -99,6 +103,8 @@
 	// nextRun is the number for the task's next run.
 	nextRun  int64
 	failures int
+	// crashes counts the crashes under the task, nil if there are none or for a member of a gang.
+	crashes *crashHistory
 	// failedOn counts the task's failures by instance ID.
 	failedOn   map[string]int
 	checkpoint string
@@ -251,6 +257,7 @@
 			s.recordFailure(t, failed)
 		}
 	}
+	s.restoreCrashes(j, p.Crashes)
 	for name, checkpoint := range p.Checkpoints {
 		id, ok := work.ParseTaskID(j.ID + "." + name)
 		t := s.task(j, id)
--- a/keel/schedule/lastresort.go
+++ b/keel/schedule/lastresort.go
@@ -39,6 +39,10 @@
 
 // eligible returns the workers on which tasks of the step may start if its constraints permit that.
 func (pl *planner) eligible(step *stepState) []*workerState {
+	if len(step.occurrence.job.crashes) > 0 {
+		c := pl.trialWorkers(step.occurrence.job.pool, func(*workerState) bool { return true })
+		return c.workers
+	}
 	if pl.mayUseLastResort(step) {
 		return slices.Concat(pl.candidates.workers, pl.lastResort.workers)
 	}
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -30,6 +30,7 @@
 	waits    *prometheus.GaugeVec
 	passes   prometheus.Histogram
 	delays   prometheus.Histogram
+	crashes  *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -67,7 +68,10 @@
 	m.delays = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "samphirekeel_control_loop_delay_seconds", Help: "Time by which a placement pass began after it was due, because the control loop was busy.", Buckets: buckets,
 	})
-	registry.MustRegister(m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
+	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirekeel_worker_crashes_total", Help: "Workers known to have crashed, by pool.",
+	}, []string{"pool"})
+	registry.MustRegister(m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
 
@@ -78,6 +82,12 @@
 	}
 }
 
+func (m *Metrics) addCrash(pool string) {
+	if m != nil {
+		m.crashes.WithLabelValues(pool).Inc()
+	}
+}
+
 func (m *Metrics) addStart(took time.Duration) {
 	if m != nil {
 		m.starts.Observe(took.Seconds())
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -192,13 +192,16 @@
 	if !pl.s.ensureTickets(step, pl) {
 		return
 	}
+	if len(step.occurrence.job.crashes) > 0 {
+		pl.placeSuspects(step)
+	}
 	if pl.isHopeless(step) {
 		pl.addMissing(step, step.waiting)
 		return
 	}
 	unplaced := 0
 	for _, t := range step.tasks {
-		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore {
+		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore || t.suspicion() > unsuspected {
 			continue
 		}
 		if !pl.s.starts.open() {
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // pool holds a pool's workers and the open jobs of its queues.
 type pool struct {
 	name     string
@@ -9,12 +11,14 @@
 	arrivals arrivals
 	// missing is what the latest placement pass lacked although the pool may have capacity for it.
 	missing missing
+	// trialCrashes holds, by instance, the times of the latest crashes under suspected tasks.
+	trialCrashes map[string]time.Duration
 }
 
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, workers: make(map[*workerState]bool), jobs: make(map[*job]bool), backlog: newBacklog(s)}
+		p = &pool{name: name, workers: make(map[*workerState]bool), jobs: make(map[*job]bool), trialCrashes: make(map[string]time.Duration), backlog: newBacklog(s)}
 		s.pools[name] = p
 	}
 	return p
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -85,7 +85,7 @@
 		s.markResponsive(w)
 		s.applyStatus(w, sent, status)
 	case worker.OtherBoot:
-		s.removeWorker(w, "another worker responds at its address")
+		s.removeReplaced(w)
 		return
 	case worker.Fenced:
 		s.Log.Write(event.RecoveryStep, event.Fields{"epoch": s.Epoch, "step": "fence " + w.ID, "outcome": "worker has accepted a later epoch; retrying"})
@@ -110,7 +110,7 @@
 		inDoubt = inDoubt || r.isUnanswered()
 	}
 	switch {
-	case inDoubt && now-w.listedAt < listingInterval:
+	case inDoubt && now-w.listedAt < listingInterval, w.isolated > 0:
 		return doubtRenewWait
 	case inDoubt || !w.hasConfirmedRun():
 		return 0
@@ -166,6 +166,7 @@
 
 // markResponsive records that the worker responded under this epoch.
 func (s *Scheduler) markResponsive(w *workerState) {
+	s.resolveDoubt(w.ID, false)
 	if w.unresponsiveSince != 0 {
 		s.Log.Write(event.WorkerHeard, event.Fields{"worker": w.ID, "silent_ms": (s.Now() - w.unresponsiveSince).Milliseconds()})
 		w.unresponsiveSince = 0
@@ -263,6 +264,11 @@
 // expireWorkerLease removes the runs of a worker whose lease has expired, because none of them can still be in progress.
 // A start order that had no response may be carried out later, if the worker has got another lease by then.
 func (s *Scheduler) expireWorkerLease(w *workerState) {
+	if len(w.runs) > 0 && w.mayHaveCrashed() && !s.mayHaveLeft(w) {
+		for _, j := range s.recordCrash(w, "its lease has expired while it was silent", !s.isReplaced(w)) {
+			defer s.checkAttempts(j)
+		}
+	}
 	for _, r := range sortedRuns(w.runs) {
 		s.recordLateStart(r)
 		s.removeRun(r, "worker lease expired")
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -55,6 +55,8 @@
 	listing      int64
 	load         float64
 	speedPercent int
+	// isolation is how far the run is kept apart from others until it has lasted long enough.
+	isolation suspicion
 	// voluntary is set if the scheduler stopped the run although it was healthy.
 	voluntary bool
 }
@@ -100,9 +102,21 @@
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
 	w.perStep[t.step]++
+	r.setIsolation(t.suspicion())
 	return r
 }
 
+// setIsolation sets how far the run is kept apart from others.
+func (r *run) setIsolation(level suspicion) {
+	if r.isolation != unsuspected {
+		r.worker.isolated--
+	}
+	r.isolation = level
+	if level != unsuspected {
+		r.worker.isolated++
+	}
+}
+
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
 func (s *Scheduler) removeRun(r *run, _ string) {
 	w, t := r.worker, r.task
@@ -112,6 +126,7 @@
 	r.removed = true
 	now := s.Now()
 	delete(w.runs, t.id())
+	r.setIsolation(unsuspected)
 	w.used = w.used.Minus(r.size)
 	w.perStep[t.step]--
 	if w.perStep[t.step] == 0 {
@@ -244,7 +259,7 @@
 		}
 		s.scheduleRenewal(w, minRenewInterval)
 	case worker.OtherBoot:
-		s.removeWorker(w, "another worker responds at its address")
+		s.removeReplaced(w)
 	case worker.Superseded:
 		// The worker may know a run with a higher number from an earlier leader, which its list shows.
 		s.abandonStart(r, string(reply.Refusal))
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -78,6 +78,8 @@
 	// The worker gets neither a lease nor tasks until it has accepted an order to stop each of them. It may have been
 	// removed and registered again meanwhile.
 	lateStarts map[string]map[work.TaskID]int64
+	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
+	doubts map[string]*doubt
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
@@ -145,6 +147,7 @@
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
 	s.lateStarts = make(map[string]map[work.TaskID]int64)
+	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -69,7 +69,7 @@
 	w := r.worker
 	switch {
 	case err == nil && reply.Refusal == worker.OtherBoot:
-		s.removeWorker(w, "another worker responds at its address")
+		s.removeReplaced(w)
 	case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
 		s.recordClock(w, reply)
 		if r.inDoubt {
@@ -161,7 +161,7 @@
 			switch {
 			case !isPending():
 			case err == nil && reply.Refusal == worker.OtherBoot:
-				s.removeWorker(w, "another worker responds at its address")
+				s.removeReplaced(w)
 			case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
 				delete(s.lateStarts[w.ID], late.Task)
 				s.schedulePlan()
@@ -205,7 +205,7 @@
 func (s *Scheduler) handleOrphanStopReply(w *workerState, live worker.Run, reply worker.Reply, err error) {
 	switch {
 	case err == nil && reply.Refusal == worker.OtherBoot:
-		s.removeWorker(w, "another worker responds at its address")
+		s.removeReplaced(w)
 	case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
 		s.scheduleRenewal(w, minRenewInterval)
 	default:
--- /dev/null
+++ b/keel/schedule/suspect.go
@@ -0,0 +1,222 @@
+package schedule
+
+import (
+	"time"
+
+	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/provider"
+)
+
+const (
+	// workersPerTrial is the number of a pool's workers for each on which suspected tasks, and for each on which an accused one,
+	// may run apart from others at a time.
+	workersPerTrial = 16
+	// maxTrialDowntime limits how long a worker that has crashed under a suspected task counts as one of these.
+	maxTrialDowntime = 5 * time.Second
+	// trialPatience is the wait of a suspected task, which may well be innocent, from which one more may run apart from others.
+	trialPatience = time.Second
+	// minWorkersForSecondTrial is the number of workers that the pool must have for that.
+	minWorkersForSecondTrial = 4
+	// isolationPatience is the wait of a suspected task from which it runs beside others if most of the pool is free, and
+	// busyIsolationPatience that from which it does in any case.
+	isolationPatience     = 2 * time.Second
+	busyIsolationPatience = 8 * time.Second
+	// maxReservedRun is the longest expected time until a worker is empty that is reserved.
+	maxReservedRun = 3 * time.Second
+	// reservationTime is how long a worker stays reserved after the last pass that lacked one for a suspected task.
+	reservationTime = 500 * time.Millisecond
+)
+
+// isolation returns how far the worker's runs are kept apart from others.
+func (w *workerState) isolation() suspicion {
+	level := unsuspected
+	for _, r := range w.runs {
+		level = max(level, r.isolation)
+	}
+	return level
+}
+
+// mayJoin reports whether another suspected task may start beside those of the worker. They start one after the other, so that
+// a crash shows which it was.
+func (w *workerState) mayJoin() bool {
+	if w.isolated == 0 || w.isolated < len(w.runs) || w.isolation() != suspected {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.survived() < recentStart {
+			return false
+		}
+	}
+	return true
+}
+
+// isEmpty reports whether nothing runs on the worker.
+func (w *workerState) isEmpty() bool { return len(w.runs)+len(w.orphans) == 0 }
+
+// trials returns the number of the pool's workers with runs that are kept apart from others as far as given, and of the
+// instances that are down since a crash under such runs.
+func (pl *planner) trials(p *pool, level suspicion) int {
+	n := 0
+	for w := range p.workers {
+		if w.isolated > 0 && w.isolation() == level {
+			n++
+		}
+	}
+	for id, at := range p.trialCrashes {
+		if pl.now-at > maxTrialDowntime || pl.now-at > listLag && pl.s.fleet.instances[id].State != provider.Down {
+			delete(p.trialCrashes, id)
+		}
+	}
+	return n + len(p.trialCrashes)
+}
+
+// mayOpenTrial reports whether the task may start on a worker of its own, or the first task on one that others may join.
+func (pl *planner) mayOpenTrial(t *task) bool {
+	p := t.job().pool
+	limit := 1 + len(p.workers)/workersPerTrial
+	if t.suspicion() == suspected && pl.now-t.readySince > trialPatience && len(p.workers) >= minWorkersForSecondTrial {
+		limit++
+	}
+	return pl.trials(p, t.suspicion()) < limit
+}
+
+// mayStartSuspect reports whether the task's crashes are known and stored.
+func (t *task) mayStartSuspect() bool {
+	h := t.history()
+	return t.job().storedChange >= h.change && !h.isHeld()
+}
+
+// trialWorkers returns the pool's workers that may get suspected tasks and pass the filter.
+func (pl *planner) trialWorkers(p *pool, filter func(*workerState) bool) candidates {
+	var c candidates
+	c.addAll(p, func(w *workerState) bool {
+		return pl.s.unavailableForAll(w, pl.now) == "" && pl.now >= w.failingUntil && pl.now >= w.reclaimedUntil && filter(w)
+	})
+	return c
+}
+
+// placeSuspects starts the step's suspected tasks apart from others.
+func (pl *planner) placeSuspects(step *stepState) {
+	for _, t := range step.tasks {
+		if t.suspicion() == unsuspected || !t.needsRun() || pl.now < t.notBefore || !t.mayStartSuspect() {
+			continue
+		}
+		if !pl.s.starts.open() {
+			return
+		}
+		w := pl.selectForSuspect(t)
+		if w == nil {
+			pl.allowDataCentres(step, 1)
+			pl.reserveFor(t)
+			continue
+		}
+		pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
+	}
+}
+
+// selectForSuspect returns a worker for a suspected task: one with other suspected tasks, an empty one or, if the task has
+// waited for long, the one with the fewest runs.
+func (pl *planner) selectForSuspect(t *task) *workerState {
+	p := t.job().pool
+	var c candidates
+	if t.suspicion() == suspected {
+		c = pl.trialWorkers(p, (*workerState).mayJoin)
+	}
+	w := pl.selectFrom(&c, t.step, t, nil)
+	if w == nil && pl.mayOpenTrial(t) {
+		c = pl.trialWorkers(p, (*workerState).isEmpty)
+		w = pl.selectFrom(&c, t.step, t, nil)
+	}
+	if w == nil && pl.mayRunBesideOthers(t) {
+		w = pl.selectLeastUsed(t)
+	}
+	return w
+}
+
+// mayRunBesideOthers reports whether the task has waited so long for an empty worker that it runs beside others.
+func (pl *planner) mayRunBesideOthers(t *task) bool {
+	waited := pl.now - t.readySince
+	return pl.mayOpenTrial(t) && (waited > busyIsolationPatience || waited > isolationPatience && t.job().pool.isMostlyFree())
+}
+
+// selectLeastUsed returns the worker with the fewest runs that has room for the task, or nil.
+func (pl *planner) selectLeastUsed(t *task) *workerState {
+	fewest := -1
+	for _, w := range pl.candidates.workers {
+		if pl.fits(t, w) && (fewest < 0 || len(w.runs) < fewest) {
+			fewest = len(w.runs)
+		}
+	}
+	c := pl.trialWorkers(t.job().pool, func(w *workerState) bool { return w.isolated == 0 && len(w.runs) == fewest })
+	return pl.selectFrom(&c, t.step, t, nil)
+}
+
+// fits reports whether the worker has room for the task and may run it.
+func (pl *planner) fits(t *task, w *workerState) bool {
+	return w.free().Holds(t.step.size()) && t.step.permits(w, 1) && pl.allowed(t.step, t, w)
+}
+
+// reserveFor keeps other tasks off a worker on which the task could run once it is empty, and counts a worker as missing.
+func (pl *planner) reserveFor(t *task) {
+	w := pl.selectReserved(t)
+	if (w == nil || !w.isEmpty()) && !pl.missing.full() && pl.s.fleet.mayRun(t.step) {
+		pl.missing.add(t.step, 1)
+	}
+	if w == nil {
+		return
+	}
+	if pl.now >= w.reservedUntil {
+		pl.s.Log.Write(event.WorkerReserved, event.Fields{"worker": w.ID, "task": t.id().String(), "runs": len(w.runs)})
+	}
+	w.reservedUntil = pl.now + reservationTime
+	pl.s.after(reservationTime, pl.s.schedulePlan)
+}
+
+// selectReserved returns the worker to reserve for the task: one that is reserved already, or else the one that is expected to
+// be empty first; nil if there is none.
+func (pl *planner) selectReserved(t *task) *workerState {
+	var best *workerState
+	var bestTime time.Duration
+	for _, g := range pl.trialWorkers(t.job().pool, func(w *workerState) bool { return w.isolated == 0 }).groups {
+		for _, w := range g.workers {
+			if !w.Capacity.Holds(t.step.size()) || !t.step.permits(w, 1) || !pl.allowed(t.step, t, w) {
+				continue
+			}
+			remaining := pl.timeUntilEmpty(w)
+			if pl.now < w.reservedUntil {
+				remaining = -1
+			}
+			if remaining < maxReservedRun && (best == nil || remaining < bestTime || remaining == bestTime && w.ID < best.ID) {
+				best, bestTime = w, remaining
+			}
+		}
+	}
+	return best
+}
+
+// timeUntilEmpty estimates the time until all of the worker's runs have ended.
+func (pl *planner) timeUntilEmpty(w *workerState) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range w.runs {
+		longest = max(longest, pl.s.remainingTime(r, pl.now))
+	}
+	return longest
+}
+
+// placeSuspectedGang starts all members of a suspected gang in one pass on workers with nothing else, or none.
+func (pl *planner) placeSuspectedGang(step *stepState) {
+	first := step.tasks[0]
+	if !first.mayStartSuspect() {
+		return
+	}
+	c := pl.trialWorkers(first.job().pool, (*workerState).isEmpty)
+	if !pl.mayOpenTrial(first) {
+		c = candidates{}
+	}
+	if pl.mayRunBesideOthers(first) {
+		c = pl.candidates
+	}
+	if !pl.startGang(step, &c) {
+		pl.reserveFor(first)
+	}
+}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -38,6 +38,11 @@
 	waitConstraint   waitCause = "constraint"
 	waitGang         waitCause = "gang"
 	waitOrders       waitCause = "orders_in_flight"
+	// waitCrashStored means that a crash under the task isn't stored yet, waitCrashKnown that it isn't known whether the workers
+	// of its runs have crashed, and waitIsolation that it waits for a worker on which it runs apart from others.
+	waitCrashStored waitCause = "crash_not_stored"
+	waitCrashKnown  waitCause = "crash_unconfirmed"
+	waitIsolation   waitCause = "isolation"
 	// waitNone means that a worker has room for the task and may run it.
 	waitNone waitCause = "none"
 	// waitUnexplained is the cause of tasks beyond maxExplainedSteps and maxReportedJobs.
@@ -267,10 +272,23 @@
 		held.cause = waitQueue
 	case c.now < t.notBefore:
 		held.cause, held.until = waitBackoff, t.notBefore
+	case t.suspicion() > unsuspected:
+		held.cause = t.suspectWait()
 	}
 	return held
 }
 
+// suspectWait returns what holds a suspected task.
+func (t *task) suspectWait() waitCause {
+	switch h := t.history(); {
+	case t.job().storedChange < h.change:
+		return waitCrashStored
+	case h.isHeld():
+		return waitCrashKnown
+	}
+	return waitIsolation
+}
+
 // addUnplaced adds the tasks of a pool that wait for a worker. All tasks of a step get the cause of the one that has
 // waited longest.
 func (c *waitCollector) addUnplaced(p *pool, steps []*unplacedStep) {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -46,6 +46,8 @@
 	firstRegistered time.Duration
 	// registered is set while the store holds the worker's registration.
 	registered bool
+	// listedUpAt is when the latest instance list was requested that shows the worker.
+	listedUpAt time.Duration
 	// unlisted is set while the latest instance list lacks the worker's instance.
 	unlisted bool
 	// rostered is set once the ledger's roster lists the worker as one that may run tasks, rostering while that is
@@ -86,6 +88,10 @@
 	// worker with orphans gets no tasks.
 	orphans map[work.TaskID]int64
 	used    work.Size
+	// isolated is the number of runs beside which only other suspected tasks may run, or none.
+	isolated int
+	// reservedUntil is the time until which only suspected tasks may start on the worker.
+	reservedUntil time.Duration
 	// perStep counts the worker's runs of each step.
 	perStep map[*stepState]int
 
@@ -246,6 +252,7 @@
 		w.clockValue = r.Clock
 	}
 	s.setWorkerPool(w)
+	s.resolveReplacedDoubt(r)
 	if !known {
 		s.Log.Write(event.WorkerSeen, event.Fields{"worker": w.ID, "address": w.Address, "pool": w.Pool, "data_centre": w.DataCentre, "rack": w.Rack, "instance": w.Instance})
 	}
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -39,6 +39,30 @@
 	Instance string `json:"w,omitempty"`
 }
 
+// CrashedRun is a run that ended with its worker, which crashed.
+type CrashedRun struct {
+	Step       int   `json:"s"`
+	Occurrence int   `json:"k,omitempty"`
+	Index      int   `json:"i"`
+	Run        int64 `json:"r"`
+	// Worker and Instance are the IDs of the worker and its instance.
+	Worker   string `json:"w"`
+	Instance string `json:"m,omitempty"`
+	// SurvivedMillis is for how many milliseconds the run is known to have lasted.
+	SurvivedMillis int64 `json:"ms,omitempty"`
+	// Suspect reports that the run may have caused the crash, because it had begun shortly before.
+	Suspect bool `json:"suspect,omitempty"`
+	// Alone reports that nothing else ran on the worker.
+	Alone bool `json:"alone,omitempty"`
+	// Unconfirmed reports that the worker was silent until its lease expired, so that it isn't known whether it crashed.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+}
+
+// IsSameRun reports whether both are records of the same run.
+func (c CrashedRun) IsSameRun(o CrashedRun) bool {
+	return c.Run == o.Run && c.Index == o.Index && c.Step == o.Step && c.Occurrence == o.Occurrence
+}
+
 // Progress is the stored progress of a job that hasn't ended.
 type Progress struct {
 	// Started reports that a start order was given for some task.
@@ -49,6 +73,8 @@
 	Done map[int][]BitSet `json:"done,omitempty"`
 	// Failures lists the failed runs.
 	Failures []FailedRun `json:"failures,omitempty"`
+	// Crashes lists the runs that ended with workers that crashed, as far as they count against their tasks.
+	Crashes []CrashedRun `json:"crashes,omitempty"`
 	// Checkpoints maps a task's name, without the job's ID, to its newest checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
 }
@@ -70,6 +96,9 @@
 				merged.Failures = append(merged.Failures, a)
 			}
 		}
+		for _, a := range from.Crashes {
+			merged.Crashes = addCrash(merged.Crashes, a)
+		}
 		for name, checkpoint := range from.Checkpoints {
 			merged.Checkpoints[name] = checkpoint
 		}
@@ -77,6 +106,18 @@
 	return merged
 }
 
+// addCrash adds a run, of which the list may have a record already: one of a confirmed crash replaces an unconfirmed one.
+func addCrash(crashes []CrashedRun, c CrashedRun) []CrashedRun {
+	i := slices.IndexFunc(crashes, c.IsSameRun)
+	if i < 0 {
+		return append(crashes, c)
+	}
+	if crashes[i].Unconfirmed {
+		crashes[i] = c
+	}
+	return crashes
+}
+
 func mergeBits(a, b []BitSet) []BitSet {
 	merged := make([]BitSet, max(len(a), len(b)))
 	for i := range merged {
