Crashes are weighed by what else may have caused them; suspected tasks don't queue up

Causes and changes: a reply of another worker at an address counted as a sign of life of the one before; the end of a call that breaks off now does. A task forgot its crashes never, and each of them was stored again ten times a second. Runs that may not have begun, and crashes of several workers at a time, don't convict. The number of workers with suspected tasks follows the free room and the number of tasks that wait; crashes that others explain don't count against long-running tasks.

--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -286,8 +286,8 @@
 	return s
 }
 
-// LongRunningCounts returns how many long-running tasks of accepted jobs that aren't cancelled have a run, and how many
-// such tasks there are.
+// LongRunningCounts returns how many long-running tasks of accepted jobs that can be done and aren't cancelled have a run, and
+// how many such tasks there are.
 func (c *Checker) LongRunningCounts() (int, int) {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
@@ -295,7 +295,7 @@
 	defer c.mu.Unlock()
 	running, all := 0, 0
 	for _, j := range c.jobs {
-		if !j.accepted || !j.cancelledAt.IsZero() {
+		if !j.accepted || !j.cancelledAt.IsZero() || len(j.deadly) > 0 {
 			continue
 		}
 		for i, step := range j.job.Steps {
--- a/keel/emulator/crash.go
+++ b/keel/emulator/crash.go
@@ -16,7 +16,7 @@
 	crashesToFail = 2
 )
 
-// crashRecord counts the crashes of a deadly task.
+// crashRecord counts the workers that have crashed under a task, for whatever reason.
 type crashRecord struct {
 	crashes int
 	// startsAfter counts the starts after crashesBeforeLimit crashes.
@@ -34,7 +34,14 @@
 	j.deadly[id] = after
 }
 
-// Crashes returns the number of workers that the tasks of a job have crashed.
+// IsDeadly reports whether some task of the job crashes its workers.
+func (c *Checker) IsDeadly(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs[job].deadly) > 0
+}
+
+// Crashes returns the number of workers that have crashed under the deadly tasks of a job.
 func (c *Checker) Crashes(job string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -57,9 +64,10 @@
 	return after, ok
 }
 
-// checkCrashes reports a start of a task that has crashed too many workers, unless the order was carried out late.
-func (c *Checker) checkCrashes(w *Worker, task *taskRecord, o worker.StartOrder) {
-	if task.crash.crashes < crashesBeforeLimit || w.executesLate {
+// checkCrashes reports a start of a deadly task that has crashed too many workers, unless the order was carried out late.
+func (c *Checker) checkCrashes(w *Worker, j *jobRecord, task *taskRecord, o worker.StartOrder) {
+	_, deadly := j.deadly[o.Task]
+	if !deadly || task.crash.crashes < crashesBeforeLimit || w.executesLate {
 		return
 	}
 	task.crash.startsAfter++
@@ -68,7 +76,8 @@
 	}
 }
 
-// mayFailForCrashes reports whether a task of the job has crashed so many workers that the job may be shown as failed.
+// mayFailForCrashes reports whether so many workers have crashed under a deadly task of the job that the job may be shown as
+// failed. A job whose tasks can be done must not, however many workers crash under them.
 func (j *jobRecord) mayFailForCrashes() bool {
 	for id := range j.deadly {
 		if j.task(id).crash.crashes >= crashesToFail {
@@ -88,7 +97,6 @@
 		if w.ended || w.runs[r.task] != r {
 			return
 		}
-		f.Checker.recordCrash(r.task)
 		f.crashLocked(w.instance, f.Times.CrashTime)
 		f.downByTasks[w.pool]++
 		f.peakDownByTasks = max(f.peakDownByTasks, f.downByTasks[w.pool])
@@ -100,10 +108,13 @@
 	})
 }
 
-func (c *Checker) recordCrash(id work.TaskID) {
+// recordCrash records that the worker crashes under its runs.
+func (c *Checker) recordCrash(w *Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[id.Job].task(id).crash.crashes++
+	for id := range w.runs {
+		c.jobs[id.Job].task(id).crash.crashes++
+	}
 }
 
 // PeakDownByTasks returns the largest number of workers of one pool that were down at a time because of tasks that crash
--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -154,6 +154,10 @@
 }
 
 func (f *Fleet) crashLocked(inst *instance, downtime time.Duration) {
+	if inst.worker != nil {
+		inst.worker.updateLocked()
+		f.Checker.recordCrash(inst.worker)
+	}
 	f.endWorkerLocked(inst, false)
 	inst.state = provider.Down
 	time.AfterFunc(downtime, func() {
--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -36,7 +36,7 @@
 		c.reportLocked("%s starts on %s, which lacks label %s", o.Task, w.id, step.Label)
 	}
 	c.checkAttempts(w, j, task, step, o)
-	c.checkCrashes(w, task, o)
+	c.checkCrashes(w, j, task, o)
 	c.checkCapacity(w, step, o)
 }
 
--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -40,7 +40,7 @@
 	j, h := t.job(), t.history()
 	s.Log.WriteFunc(event.CrashesExhausted, func() event.Fields {
 		return event.Fields{
-			"job": j.ID, "task": t.id().String(), "crashes": len(h.runs), "crashes_alone": h.alone, "unconfirmed": h.unconfirmed, "queue": j.Queue,
+			"job": j.ID, "task": t.id().String(), "crashes": len(h.runs), "crashes_sole": h.sole, "unconfirmed": h.unconfirmed, "queue": j.Queue,
 		}
 	})
 	s.endJob(j, work.Failed, "task "+t.id().String()+" has crashed "+strconv.Itoa(len(h.runs)-h.unconfirmed)+" workers")
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
@@ -17,23 +18,33 @@
 	// startCrashTime is the survival from which a run isn't the likely cause of a crash.
 	startCrashTime = time.Second
 	// minIsolationTime is the shortest survival from which others may run beside a suspected task.
-	minIsolationTime = 300 * time.Millisecond
+	minIsolationTime = 200 * time.Millisecond
 	// provenTime is the survival from which crashes no longer count against a task, neither this nor earlier ones.
-	provenTime = 10 * time.Second
-	// A task has crashed its workers after crashesAlone crashes with nothing else on the worker, after crashesWithAlone of
-	// which one was such, or after maxCrashes. The users' pages allow a job to be given up after two.
-	crashesAlone     = 2
-	crashesWithAlone = 3
-	maxCrashes       = 4
+	provenTime = 5 * time.Second
+	// A task is certain to crash its workers after suspectsWithSole crashes under runs that had begun and may have caused them, while
+	// no other worker crashed, one of them as the only one; after soleCrashes as the only one among crashesWithSole; or after maxSuspects that it may have caused. The
+	// users' pages allow a job to be given up after two crashes.
+	suspectsWithSole = 2
+	soleCrashes      = 2
+	crashesWithSole  = 3
+	maxSuspects      = 4
+	// crashesToAccuse is the number of crashes from which a task runs alone whether or not it is their likely cause.
+	crashesToAccuse = 3
+	// rackCauseTime is the time between the crashes of two workers of a rack that may have a common cause, commonCauseTime the same
+	// for a worker and commonCauseWorkers others of any racks.
+	rackCauseTime      = time.Second
+	commonCauseTime    = 300 * time.Millisecond
+	commonCauseWorkers = 3
 )
 
 // crashHistory counts the crashes under a task, or under a gang.
 type crashHistory struct {
 	// runs lists the numbers of the runs that ended in a crash.
 	runs []int64
-	// suspect counts those that may have caused it, alone those of them with nothing else on the worker, and unconfirmed those
-	// of which it isn't known whether the worker crashed.
-	suspect, alone, unconfirmed int
+	// suspect counts those that may have caused a confirmed crash, sole those of them as the only ones, begunSuspect and begunSole
+	// those of both that are known to have begun, while no other worker crashed, and unconfirmed those of which it isn't known
+	// whether the worker crashed.
+	suspect, sole, begunSuspect, begunSole, unconfirmed int
 	// longest is the longest survival of these runs.
 	longest time.Duration
 	// change is the number of the job's change that must be stored before the task starts again.
@@ -58,9 +69,9 @@
 	switch {
 	case h == nil || h.cleared:
 		return unsuspected
-	case h.suspect > 1 || len(h.runs) > crashesAlone:
+	case h.suspect > 1 || len(h.runs) >= crashesToAccuse:
 		return accused
-	case h.suspect > 0 || len(h.runs) > 1:
+	case h.suspect+h.unconfirmed > 0:
 		return suspected
 	}
 	return unsuspected
@@ -72,12 +83,16 @@
 		return false
 	}
 	confirmed := len(h.runs) - h.unconfirmed
-	return h.alone >= crashesAlone || h.alone > 0 && confirmed >= crashesWithAlone || confirmed >= maxCrashes
+	switch {
+	case h.begunSole > 0 && h.begunSuspect >= suspectsWithSole, h.sole >= soleCrashes && confirmed >= crashesWithSole:
+		return true
+	}
+	return h.suspect >= maxSuspects
 }
 
 // isHeld reports whether the task may not start before it is known whether the workers of its runs have crashed.
 func (h *crashHistory) isHeld() bool {
-	return h != nil && len(h.runs) >= maxCrashes && h.unconfirmed > 0
+	return h != nil && len(h.runs) >= maxSuspects && h.unconfirmed > 0
 }
 
 // isolationTime returns for how long a run must have lasted before others may run beside it.
@@ -101,7 +116,28 @@
 	if r.confirmedAt == 0 {
 		return 0
 	}
-	return max(0, r.worker.clockReadAt-r.confirmedAt)
+	return max(0, r.worker.aliveAt-r.confirmedAt)
+}
+
+const (
+	// minBrokenCall is the shortest duration of a call whose connection was open until the call broke off. A call on a connection
+	// that had been closed before fails sooner.
+	minBrokenCall = 20 * time.Millisecond
+	// maxBrokenCall is the longest duration of such a call. On a connection to a worker that was gone before it, one may break off
+	// later, when data has stayed unacknowledged for too long.
+	maxBrokenCall = 1400 * time.Millisecond
+	// brokenCallDelay is the longest usual time after which a call that broke off is noticed.
+	brokenCallDelay = 50 * time.Millisecond
+)
+
+// recordBrokenCall records that a worker was alive until a call to it broke off. One that only timed out doesn't show that.
+func (s *Scheduler) recordBrokenCall(w *workerState, sent, timeout time.Duration, err error) {
+	now := s.Now()
+	took := now - sent
+	if err == nil || fault.As(err).Outcome() == fault.NotRun || took < minBrokenCall || took >= min(timeout, maxBrokenCall) {
+		return
+	}
+	w.aliveAt = max(w.aliveAt, now-brokenCallDelay)
 }
 
 // mayHaveLeft reports whether the worker may have ended by an order to its instance or because it was draining.
@@ -143,21 +179,25 @@
 	s.removeCrashed(w, reason)
 }
 
-// removeUnlistedWorker removes a worker that the list no longer shows on its instance.
-func (s *Scheduler) removeUnlistedWorker(w *workerState, i provider.Instance) {
-	reason := "instance list reports state " + string(i.State) + " with worker " + strconv.Quote(i.Worker)
-	left := w.Draining
+// hasCrashed reports whether a worker has crashed that the list no longer shows on its instance.
+func (s *Scheduler) hasCrashed(w *workerState, i provider.Instance) bool {
 	switch i.State {
-	case provider.Moving, provider.Maintenance:
-		left = true
+	case provider.Down:
+		return !w.Draining
 	case provider.Up:
-		left = left || i.Pool != w.Pool && w.Pool != "" || s.mayHaveLeft(w)
+		return (i.Pool == w.Pool || w.Pool == "") && !s.mayHaveLeft(w)
 	}
-	if left {
-		s.removeWorker(w, reason)
+	return false
+}
+
+// removeUnlistedWorker removes a worker that the list no longer shows on its instance.
+func (s *Scheduler) removeUnlistedWorker(w *workerState, i provider.Instance) {
+	reason := "instance list reports state " + string(i.State) + " with worker " + strconv.Quote(i.Worker)
+	if s.hasCrashed(w, i) {
+		s.removeCrashed(w, reason)
 		return
 	}
-	s.removeCrashed(w, reason)
+	s.removeWorker(w, reason)
 }
 
 // removeCrashed removes a worker that has crashed, and ends the jobs with tasks that are certain to have caused it.
@@ -182,36 +222,96 @@
 	suspects := 0
 	var jobs []*job
 	for _, r := range runs {
-		survived := r.survived()
-		suspect := survived < limit
-		if survived >= provenTime || unconfirmed && !suspect || r.task.done || !r.task.job().open() {
+		c := s.crashedRun(r, limit)
+		c.Unconfirmed = unconfirmed
+		if r.survived() >= provenTime || unconfirmed && !c.Suspect || r.task.done || !r.task.job().open() {
 			continue
 		}
-		if suspect {
+		if c.Suspect {
 			suspects++
 		}
-		id := r.task.id()
-		s.addCrash(r.task, work.CrashedRun{
-			Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
-			SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Alone: suspect && w.runsOnly(r.task), Unconfirmed: unconfirmed,
-		})
+		s.addCrash(r.task, c)
 		if !slices.Contains(jobs, r.task.job()) {
 			jobs = append(jobs, r.task.job())
 		}
 	}
+	if len(runs) == 0 && !w.fenced {
+		// It ended under an earlier leader.
+		return nil
+	}
 	if !unconfirmed {
-		s.Metrics.addCrash(w.Pool)
-		if w.isolated > 0 && w.pool != nil {
-			w.pool.trialCrashes[w.Instance] = s.Now()
-		}
+		s.countCrash(w)
 	}
 	s.Log.Write(event.WorkerCrashed, event.Fields{
 		"worker": w.ID, "instance": w.Instance, "pool": w.Pool, "reason": reason, "runs": len(runs), "suspects": suspects,
-		"heard_ms": (s.Now() - w.clockReadAt).Milliseconds(), "unconfirmed": unconfirmed,
+		"alive_ms": (s.Now() - w.aliveAt).Milliseconds(), "unconfirmed": unconfirmed,
 	})
 	return jobs
 }
 
+// crashedRun returns the record of a crash under the run. Runs that are known to have lasted for less than the limit may have
+// caused it.
+func (s *Scheduler) crashedRun(r *run, limit time.Duration) work.CrashedRun {
+	w, id, survived := r.worker, r.task.id(), r.survived()
+	suspect, common := survived < limit || w.runsOnly(r.task), s.hasCommonCause(r)
+	return work.CrashedRun{
+		Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
+		SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Sole: suspect && !common && w.isSoleSuspect(r.task), Common: common,
+		Unanswered: r.isUnanswered() || r.confirmedAt == 0,
+	}
+}
+
+// countCrash counts a crash of the worker.
+func (s *Scheduler) countCrash(w *workerState) {
+	s.Metrics.addCrash(w.Pool)
+	if w.isolated > 0 && w.pool != nil {
+		w.pool.trialCrashes[w.Instance] = s.Now()
+	}
+	s.noteCrash(w)
+}
+
+// recentCrash is a crash of a worker without suspected tasks that became known at a time.
+type recentCrash struct {
+	worker, rack string
+	at           time.Duration
+}
+
+// noteCrash records that a worker has crashed, for hasCommonCause.
+func (s *Scheduler) noteCrash(w *workerState) {
+	known := slices.ContainsFunc(s.recentCrashes, func(c recentCrash) bool { return c.worker == w.ID })
+	if w.isolated == 0 && !known {
+		s.recentCrashes = append(s.recentCrashes, recentCrash{worker: w.ID, rack: w.Rack, at: s.Now()})
+	}
+}
+
+// noteListedCrashes records the crashes that the latest instance list shows, before the first of them is examined.
+func (s *Scheduler) noteListedCrashes(sent time.Duration) {
+	for _, w := range s.workers {
+		i, listed := s.fleet.instances[w.Instance]
+		if listed && w.mayBeListed(sent) && i.Worker != w.ID && s.hasCrashed(w, i) {
+			s.noteCrash(w)
+		}
+	}
+}
+
+// hasCommonCause reports whether the run's worker may have crashed for the same reason as others, such as the power of its rack.
+// Those that had crashed before the run was ordered don't count.
+func (s *Scheduler) hasCommonCause(r *run) bool {
+	now, w := s.Now(), r.worker
+	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(c recentCrash) bool { return now-c.at > rackCauseTime })
+	near := 0
+	for _, c := range s.recentCrashes {
+		switch {
+		case c.worker == w.ID || c.at < r.ordered:
+		case c.rack == w.Rack && w.Rack != "":
+			return true
+		case now-c.at <= commonCauseTime:
+			near++
+		}
+	}
+	return near >= commonCauseWorkers
+}
+
 // suspectLimit returns the survival below which the runs of a worker may have caused its crash. The runs that began last are
 // the likeliest cause.
 func suspectLimit(runs []*run) time.Duration {
@@ -222,10 +322,16 @@
 }
 
 // runsOnly reports whether nothing but the task, or members of its gang, runs on the worker.
-func (w *workerState) runsOnly(t *task) bool {
+func (w *workerState) runsOnly(t *task) bool { return w.othersSurvived(t, provenTime) }
+
+// isSoleSuspect reports whether nothing but the task, or members of its gang, has begun on the worker recently.
+func (w *workerState) isSoleSuspect(t *task) bool { return w.othersSurvived(t, startCrashTime) }
+
+// othersSurvived reports whether all other runs on the worker, but those of members of the task's gang, have lasted for the time.
+func (w *workerState) othersSurvived(t *task, limit time.Duration) bool {
 	for _, r := range w.runs {
 		sameGang := t.step.spec.Gang && r.task.step == t.step
-		if r.task != t && !sameGang {
+		if r.task != t && !sameGang && r.survived() < limit {
 			return false
 		}
 	}
@@ -249,8 +355,8 @@
 	if t.suspicion() > unsuspected {
 		s.Log.WriteFunc(event.TaskSuspected, func() event.Fields {
 			return event.Fields{
-				"task": t.id().String(), "run": c.Run, "worker": c.Worker, "survived_ms": c.SurvivedMillis, "alone": c.Alone,
-				"crashes": len(h.runs), "crashes_alone": h.alone, "unconfirmed": h.unconfirmed,
+				"task": t.id().String(), "run": c.Run, "worker": c.Worker, "survived_ms": c.SurvivedMillis, "sole": c.Sole, "common": c.Common,
+				"crashes": len(h.runs), "crashes_sole": h.sole, "unconfirmed": h.unconfirmed,
 			}
 		})
 	}
@@ -272,13 +378,21 @@
 		return
 	}
 	h.runs = append(h.runs, c.Run)
+	if c.Unconfirmed {
+		h.unconfirmed++
+		return
+	}
 	if c.Suspect {
 		h.suspect++
 	}
-	if c.Unconfirmed {
-		h.unconfirmed++
-	} else if c.Alone {
-		h.alone++
+	if c.Sole {
+		h.sole++
+	}
+	if c.Suspect && !c.Unanswered && !c.Common {
+		h.begunSuspect++
+	}
+	if c.Sole && !c.Unanswered {
+		h.begunSole++
 	}
 }
 
@@ -304,23 +418,22 @@
 
 // keepCrashes keeps the job's crashes for which keep returns true, and counts them anew.
 func (s *Scheduler) keepCrashes(j *job, keep func(*work.CrashedRun) bool) {
-	all := j.crashes
-	j.crashes = nil
+	var kept []work.CrashedRun
 	cleared := make(map[*task]bool)
-	for _, c := range all {
+	for _, c := range j.crashes {
 		t := s.crashedTask(j, c)
 		cleared[t] = t.history().cleared
+		if keep(&c) {
+			kept = append(kept, c)
+		}
 	}
 	for t := range cleared {
 		t.crashes, t.step.crashes = nil, nil
 	}
+	j.crashes = kept
 	change := s.markDirty(j)
-	for _, c := range all {
-		if !keep(&c) {
-			continue
-		}
+	for _, c := range kept {
 		t := s.crashedTask(j, c)
-		j.crashes = append(j.crashes, c)
 		t.countCrash(c)
 		t.history().change, t.history().cleared = change, cleared[t]
 	}
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -162,6 +162,7 @@
 		}
 	}
 	s.setShapes(distinctShapes(all))
+	s.noteListedCrashes(sent)
 	for _, w := range s.workers {
 		s.checkListed(w, sent)
 	}
@@ -248,7 +249,7 @@
 // listLag before the list was requested may not be listed yet and is skipped.
 func (s *Scheduler) checkListed(w *workerState, sent time.Duration) {
 	i, listed := s.fleet.instances[w.Instance]
-	if w.Instance == "" || w.firstRegistered+listLag > sent {
+	if !w.mayBeListed(sent) {
 		return
 	}
 	if !listed {
@@ -266,6 +267,11 @@
 	w.listedUpAt = sent
 }
 
+// mayBeListed reports whether a list that was requested at the time sent shows the worker, if it is alive.
+func (w *workerState) mayBeListed(sent time.Duration) bool {
+	return w.Instance != "" && w.firstRegistered+listLag <= sent
+}
+
 // isGone reports whether two instance lists in a row lack the instance. One may lack it because instances came or went
 // between the requests for its pages.
 func (f *fleetState) isGone(instance string) bool { return f.lists-f.lastList[instance] >= 2 }
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -41,6 +41,8 @@
 	// capacity is free.
 	lastResort candidates
 	missing    missing
+	// suspects is the number of suspected tasks that were not started.
+	suspects int
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
@@ -57,7 +59,7 @@
 		// The jobs that were not reached may need the workers that an earlier pass found missing.
 		pl.missing.merge(p.missing)
 	}
-	p.missing = pl.missing
+	p.missing, p.waitingSuspects = pl.missing, pl.suspects
 }
 
 const (
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -11,6 +11,8 @@
 	arrivals arrivals
 	// missing is what the latest placement pass lacked although the pool may have capacity for it.
 	missing missing
+	// waitingSuspects is the number of suspected tasks that the latest placement pass did not start.
+	waitingSuspects int
 	// trialCrashes holds, by instance, the times of the latest crashes under suspected tasks.
 	trialCrashes map[string]time.Duration
 }
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -57,6 +57,7 @@
 			return
 		}
 		s.Metrics.addRenewal()
+		s.recordBrokenCall(w, now, order.Wait+renewTimeoutMargin, err)
 		s.handleRenewal(w, now, status, err)
 	})
 }
@@ -196,6 +197,11 @@
 	if !status.Partial {
 		s.removeUnlisted(w, sent, status.Running)
 	}
+	if w.isolated > 0 {
+		for _, r := range w.runs {
+			s.checkSurvival(r)
+		}
+	}
 	s.acknowledgeEnds(w)
 	s.schedulePlan()
 }
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -102,7 +102,6 @@
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
 	w.perStep[t.step]++
-	r.setIsolation(t.suspicion())
 	return r
 }
 
@@ -147,6 +146,7 @@
 // start orders the worker to start the task.
 func (s *Scheduler) start(t *task, w *workerState, number int64, ticket string) {
 	r := s.addRun(t, w, number)
+	r.setIsolation(t.suspicion())
 	j := t.job()
 	if !j.started {
 		j.started = true
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -80,6 +80,8 @@
 	lateStarts map[string]map[work.TaskID]int64
 	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
 	doubts map[string]*doubt
+	// recentCrashes holds the crashes of workers within commonCauseTime.
+	recentCrashes []recentCrash
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -9,8 +9,18 @@
 
 const (
 	// workersPerTrial is the number of a pool's workers for each on which suspected tasks, and for each on which an accused one,
-	// may run apart from others at a time.
-	workersPerTrial = 16
+	// may run apart from others at a time, those that are down after a crash included; freeWorkersPerTrial is the same while most
+	// of the pool is free. If a task has waited for isolationPatience besides, only those that aren't down count, and there may be
+	// one more for each waitingPerTrial suspected tasks that wait, at most one for each waitWorkersPerTrial workers that are up. If
+	// fewer tasks wait, and none of them for three times as long, at most one of downWorkersPerTrial workers, or two, may be down.
+	workersPerTrial     = 16
+	freeWorkersPerTrial = 4
+	waitWorkersPerTrial = 2
+	waitingPerTrial     = 8
+	downWorkersPerTrial = 3
+	// maxMissingTrials is the maximum number of additional workers for suspected tasks of a step, if there aren't waitingPerTrial
+	// times as many of them.
+	maxMissingTrials = 4
 	// maxTrialDowntime limits how long a worker that has crashed under a suspected task counts as one of these.
 	maxTrialDowntime = 5 * time.Second
 	// trialPatience is the wait of a suspected task, which may well be innocent, from which one more may run apart from others.
@@ -53,31 +63,55 @@
 // isEmpty reports whether nothing runs on the worker.
 func (w *workerState) isEmpty() bool { return len(w.runs)+len(w.orphans) == 0 }
 
-// trials returns the number of the pool's workers with runs that are kept apart from others as far as given, and of the
-// instances that are down since a crash under such runs.
-func (pl *planner) trials(p *pool, level suspicion) int {
+// trials returns the number of the pool's workers with runs that are kept apart from others as far as given and began within
+// startCrashTime.
+func (p *pool) trials(level suspicion, now time.Duration) int {
 	n := 0
 	for w := range p.workers {
-		if w.isolated > 0 && w.isolation() == level {
+		if w.isolated > 0 && w.isolation() == level && w.startedWithin(startCrashTime, now) {
 			n++
 		}
 	}
+	return n
+}
+
+// startedWithin reports whether the start of a run that is kept apart from others was ordered within the time.
+func (w *workerState) startedWithin(limit, now time.Duration) bool {
+	for _, r := range w.runs {
+		if r.isolation != unsuspected && now-r.ordered < limit {
+			return true
+		}
+	}
+	return false
+}
+
+// downAfterTrials returns the number of the pool's instances that are down since a crash under suspected tasks.
+func (pl *planner) downAfterTrials(p *pool) int {
 	for id, at := range p.trialCrashes {
 		if pl.now-at > maxTrialDowntime || pl.now-at > listLag && pl.s.fleet.instances[id].State != provider.Down {
 			delete(p.trialCrashes, id)
 		}
 	}
-	return n + len(p.trialCrashes)
+	return len(p.trialCrashes)
 }
 
 // mayOpenTrial reports whether the task may start on a worker of its own, or the first task on one that others may join.
 func (pl *planner) mayOpenTrial(t *task) bool {
 	p := t.job().pool
 	limit := 1 + len(p.workers)/workersPerTrial
-	if t.suspicion() == suspected && pl.now-t.readySince > trialPatience && len(p.workers) >= minWorkersForSecondTrial {
+	waited := pl.now - t.readySince
+	running, down := p.trials(t.suspicion(), pl.now), pl.downAfterTrials(p)
+	if p.isMostlyFree() {
+		if waited > isolationPatience {
+			mayCrash := p.waitingSuspects >= waitingPerTrial || waited > 3*isolationPatience || down < max(2, (len(p.workers)+down)/downWorkersPerTrial)
+			return mayCrash && running < max(1, min(len(p.workers)/waitWorkersPerTrial, 1+p.waitingSuspects/waitingPerTrial))
+		}
+		limit = max(limit, len(p.workers)/freeWorkersPerTrial)
+	}
+	if t.suspicion() == suspected && waited > trialPatience && len(p.workers) >= minWorkersForSecondTrial {
 		limit++
 	}
-	return pl.trials(p, t.suspicion()) < limit
+	return running+down < limit
 }
 
 // mayStartSuspect reports whether the task's crashes are known and stored.
@@ -97,6 +131,7 @@
 
 // placeSuspects starts the step's suspected tasks apart from others.
 func (pl *planner) placeSuspects(step *stepState) {
+	unplaced := 0
 	for _, t := range step.tasks {
 		if t.suspicion() == unsuspected || !t.needsRun() || pl.now < t.notBefore || !t.mayStartSuspect() {
 			continue
@@ -106,25 +141,27 @@
 		}
 		w := pl.selectForSuspect(t)
 		if w == nil {
+			unplaced++
+			pl.suspects++
 			pl.allowDataCentres(step, 1)
-			pl.reserveFor(t)
+			pl.reserveFor(t, min(unplaced, max(maxMissingTrials, t.job().pool.waitingSuspects/waitingPerTrial)))
 			continue
 		}
 		pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
 	}
 }
 
-// selectForSuspect returns a worker for a suspected task: one with other suspected tasks, an empty one or, if the task has
-// waited for long, the one with the fewest runs.
+// selectForSuspect returns a worker for a suspected task: an empty one, one with other suspected tasks if many of them wait, or,
+// if the task has waited for long, the one with the fewest runs.
 func (pl *planner) selectForSuspect(t *task) *workerState {
 	p := t.job().pool
-	var c candidates
-	if t.suspicion() == suspected {
-		c = pl.trialWorkers(p, (*workerState).mayJoin)
+	var w *workerState
+	if pl.mayOpenTrial(t) {
+		c := pl.trialWorkers(p, (*workerState).isEmpty)
+		w = pl.selectFrom(&c, t.step, t, nil)
 	}
-	w := pl.selectFrom(&c, t.step, t, nil)
-	if w == nil && pl.mayOpenTrial(t) {
-		c = pl.trialWorkers(p, (*workerState).isEmpty)
+	if w == nil && t.suspicion() == suspected && p.waitingSuspects >= waitingPerTrial {
+		c := pl.trialWorkers(p, (*workerState).mayJoin)
 		w = pl.selectFrom(&c, t.step, t, nil)
 	}
 	if w == nil && pl.mayRunBesideOthers(t) {
@@ -156,11 +193,12 @@
 	return w.free().Holds(t.step.size()) && t.step.permits(w, 1) && pl.allowed(t.step, t, w)
 }
 
-// reserveFor keeps other tasks off a worker on which the task could run once it is empty, and counts a worker as missing.
-func (pl *planner) reserveFor(t *task) {
+// reserveFor keeps other tasks off a worker on which the task could run once it is empty. If there is no empty one, it counts
+// the number of workers as missing.
+func (pl *planner) reserveFor(t *task, missing int) {
 	w := pl.selectReserved(t)
 	if (w == nil || !w.isEmpty()) && !pl.missing.full() && pl.s.fleet.mayRun(t.step) {
-		pl.missing.add(t.step, 1)
+		pl.missing.add(t.step, missing)
 	}
 	if w == nil {
 		return
@@ -217,6 +255,6 @@
 		c = pl.candidates
 	}
 	if !pl.startGang(step, &c) {
-		pl.reserveFor(first)
+		pl.reserveFor(first, len(step.tasks))
 	}
 }
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -74,6 +74,8 @@
 
 	// clockValue is the worker's clock at the time clockReadAt by the scheduler's clock.
 	clockValue, clockReadAt time.Duration
+	// aliveAt is the latest time at which the worker is known to have been alive.
+	aliveAt time.Duration
 	// leaseExpiry is when everything on the worker is certain to have ended, unless the lease is extended.
 	leaseExpiry time.Duration
 	// renewalFailed is set while the latest renewal got no response. Whether it was carried out isn't certain, even if it
@@ -171,6 +173,9 @@
 
 // recordClock records the worker's clock from a response.
 func (s *Scheduler) recordClock(w *workerState, reply worker.Reply) {
+	if reply.Refusal != worker.OtherBoot {
+		w.aliveAt = s.Now()
+	}
 	if reply.Clock > 0 {
 		w.clockValue, w.clockReadAt = reply.Clock, s.Now()
 	}
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -52,8 +52,12 @@
 	SurvivedMillis int64 `json:"ms,omitempty"`
 	// Suspect reports that the run may have caused the crash, because it had begun shortly before.
 	Suspect bool `json:"suspect,omitempty"`
-	// Alone reports that nothing else ran on the worker.
-	Alone bool `json:"alone,omitempty"`
+	// Sole reports that nothing else on the worker may have caused the crash: nothing else ran there, or not only recently.
+	Sole bool `json:"sole,omitempty"`
+	// Common reports that other workers crashed at the same time, so that the crash may have another cause.
+	Common bool `json:"common,omitempty"`
+	// Unanswered reports that the order to start the run got no response, so that it may not have begun.
+	Unanswered bool `json:"unanswered,omitempty"`
 	// Unconfirmed reports that the worker was silent until its lease expired, so that it isn't known whether it crashed.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
