--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -55,6 +55,7 @@
 	TaskCleared
 	CrashesExhausted
 	WorkerReserved
+	TrialLost
 )
 
 var scheduleEvents = []Definition{
@@ -106,7 +107,8 @@
 	{WorkerCrashed, "worker_crashed", logrus.WarnLevel, "a worker is known to have crashed, or (unconfirmed) was silent until its lease expired while nothing tells whether it crashed; with the number of its runs, of those that may have caused it, and the time since it was last known to be alive", []string{"worker", "instance", "pool", "reason", "runs", "suspects", "alive_ms", "unconfirmed"}},
 	{TaskSuspected, "task_suspected", logrus.WarnLevel, "a worker has crashed under a run that may have caused it, so that the task runs apart from others; with the time for which the run is known to have lasted, whether nothing else there may have caused it, whether other workers crashed at the time, and the task's crashes so far (sole: as the only possible cause; unconfirmed: the worker may only have been silent)", []string{"task", "run", "worker", "survived_ms", "sole", "common", "crashes", "crashes_sole", "unconfirmed"}},
 	{TaskCleared, "task_cleared", logrus.InfoLevel, "a run of a suspected task has lasted long enough for others to run beside it", []string{"task", "run", "worker", "survived_ms", "crashes"}},
-	{CrashesExhausted, "crashes_exhausted", logrus.WarnLevel, "a job fails because a task has crashed its workers, with the crashes as in task_suspected", []string{"job", "task", "crashes", "crashes_sole", "unconfirmed", "queue"}},
+	{CrashesExhausted, "crashes_exhausted", logrus.WarnLevel, "a job fails because a task has crashed its workers, with the crashes as in task_suspected; or (held) only that task isn't started again, since an order to stop the others would exceed their disruption budget", []string{"job", "task", "crashes", "crashes_sole", "unconfirmed", "queue", "held"}},
+	{TrialLost, "trial_lost", logrus.WarnLevel, "a run of a suspected task that an earlier leader may have started is listed by no worker and counts as a crash", []string{"task", "run", "crashes"}},
 	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/job/batch.go
+++ b/keel/job/batch.go
@@ -100,6 +100,13 @@
 	b.putWorker(key, next)
 }
 
+// isolate marks the worker's row as one whose job runs apart from others, until it is released.
+func (b *batch) isolate(key string) {
+	next := b.worker(key)
+	next.Isolated = true
+	b.putWorker(key, next)
+}
+
 // release removes the job from the worker's row and applies update to the row unless it is nil.
 func (b *batch) release(key, jobKey string, update func(*Worker)) {
 	next := b.worker(key)
@@ -108,6 +115,7 @@
 		return
 	}
 	delete(next.Tasks, jobKey)
+	next.Isolated = next.Isolated && len(next.Tasks) > 0
 	if update != nil {
 		update(&next)
 	}
--- a/keel/job/place.go
+++ b/keel/job/place.go
@@ -63,6 +63,9 @@
 	}
 	usable := func(candidate *Candidate) bool {
 		reservedBy, reserved := p.reservations[candidate.Name]
+		if !p.maySuspect(job, candidate) || !p.reportsRoom(candidate, size) {
+			return false
+		}
 		return !slices.Contains(job.FailedOn, candidate.Name) && (!reserved || reservedBy == found.Key()) && p.available(candidate.Name)
 	}
 	if p.knownUnplaceable(job, size) {
@@ -82,12 +85,20 @@
 	next := job
 	next.State, next.Worker, next.Reserved, next.Epoch, next.Reason = Placed, candidate.Name, size, p.epoch, ""
 	next.Attempt++
+	listing, _ := p.c.View.InstanceList().Get(candidate.Name)
+	next.Boot = listing.Boot
 	p.batch.putJob(found, next)
 	p.batch.assign(WorkerKey(p.pool, candidate.Name), candidate.Name, found.Key(), size)
+	if len(job.CrashedOn) > 0 {
+		p.batch.isolate(WorkerKey(p.pool, candidate.Name))
+	}
 	// The commit fails if the instance's row has changed, so that no job is placed on a worker that began to leave.
 	p.batch.addCondition(inst.Condition())
 	free := subtract(candidate.Free, size)
 	p.index.Allocate(candidate.Name, size)
+	if len(job.CrashedOn) > 0 {
+		p.index.Remove(candidate.Name)
+	}
 	p.serviceUsage[job.Service].Used = p.serviceUsage[job.Service].Used.Plus(size)
 	p.decisions = append(p.decisions, decision{
 		event: event.JobPlaced, waited: time.Since(job.Submitted),
@@ -138,7 +149,7 @@
 // handleUnplaceable reserves a worker and starts preemption for an urgent or starved job; other jobs stay queued.
 func (p *planner) handleUnplaceable(found rowset.Versioned[Record], size platform.Size) {
 	// A job that must avoid some workers shows nothing about other jobs of its size.
-	if len(found.Value.FailedOn) == 0 {
+	if len(found.Value.FailedOn)+len(found.Value.CrashedOn) == 0 {
 		p.unplaceable = append(p.unplaceable, size)
 	}
 	if !p.withinUrgentShare(found.Value) && !p.starved(found.Value) || p.hasReservation(found.Key()) {
--- a/keel/job/plan.go
+++ b/keel/job/plan.go
@@ -111,7 +111,7 @@
 		p.requeue(found, "stopped to make room or to leave its worker", task.checkpoint)
 	case job.State == Placed && p.recordPlaced(found, task):
 	case p.leaseExpired(job, task) && p.reportsReadSinceExpiry(job, task):
-		p.recordInterrupted(found, "lease lapsed")
+		p.recordLapsed(found)
 	}
 }
 
@@ -164,7 +164,7 @@
 	case report.State == platform.TaskStopped:
 		p.recordInterrupted(found, "stopped to make room or to leave its worker")
 	default:
-		p.recordInterrupted(found, "lease lapsed")
+		p.recordLapsed(found)
 	}
 }
 
--- a/keel/job/record.go
+++ b/keel/job/record.go
@@ -81,7 +81,11 @@
 	// Attempt is the number of placements so far.
 	Attempt int `json:"attempt"`
 	// FailedOn lists the workers on which the job failed; it isn't placed there again.
-	FailedOn   []string  `json:"failed_on,omitempty"`
+	FailedOn []string `json:"failed_on,omitempty"`
+	// Boot is the boot of the worker's instance when the job was placed, 0 if it wasn't known.
+	Boot uint64 `json:"boot,omitempty"`
+	// CrashedOn lists the workers that crashed under the job; from the first on it runs on workers without other jobs.
+	CrashedOn  []string  `json:"crashed_on,omitempty"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Reason     string    `json:"reason,omitempty"`
 	Submitted  time.Time `json:"submitted,omitzero"`
@@ -132,6 +136,8 @@
 	Tasks map[string]platform.Size `json:"tasks,omitempty"`
 	// Failures lists the failures on the worker since a job last succeeded there, at most maxFailures.
 	Failures []Failure `json:"failures,omitempty"`
+	// Isolated is true while a job that crashed a worker runs here, apart from others.
+	Isolated bool `json:"isolated,omitempty"`
 	// Quarantined is the time until which the worker gets no jobs, zero if it was never quarantined.
 	Quarantined time.Time `json:"quarantined,omitzero"`
 }
--- a/keel/job/scheduler.go
+++ b/keel/job/scheduler.go
@@ -203,7 +203,7 @@
 	}
 	found, ok := s.c.View.Inventory().Get(key)
 	worker, _ := s.workers.Get(WorkerKey(s.pool, key))
-	if !ok || found.Value.Pool != s.pool || !found.Value.Serving() || time.Now().Before(worker.Value.Quarantined) {
+	if !ok || found.Value.Pool != s.pool || !found.Value.Serving() || time.Now().Before(worker.Value.Quarantined) || worker.Value.Isolated {
 		s.index.Remove(key)
 		return
 	}
--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"strconv"
 
 	"samphirekeel.example/keel/event"
@@ -15,10 +16,13 @@
 		return
 	}
 	deadly := s.deadlyTask(j)
-	if deadly != nil {
+	if deadly != nil && s.mayEnd(j) {
 		s.failForCrashes(deadly)
 		return
 	}
+	if deadly != nil {
+		s.giveUp(deadly)
+	}
 	if j.queue == nil {
 		return
 	}
@@ -35,14 +39,69 @@
 	s.endJob(j, work.Failed, "task "+t.id().String()+" has failed as often as its queue allows")
 }
 
-// failForCrashes ends the job of a task that has crashed its workers.
-func (s *Scheduler) failForCrashes(t *task) {
+// mayEnd reports whether the job may be ended by the scheduler: no task with a disruption budget is at work, which an order to stop
+// it would make unavailable beside the one that has crashed its workers. A worker that this leader hasn't heard yet may run one.
+func (s *Scheduler) mayEnd(j *job) bool {
+	for _, w := range s.unfenced {
+		if j.inherited && j.LongRunning() && j.mayHaveRunIn(w.DataCentre) {
+			return false
+		}
+	}
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			if step.spec.LongRunning && step.spec.HasDisruptionBudget && slices.ContainsFunc(step.tasks, (*task).mayBeAtWork) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// mayBeAtWork reports whether some run of the task may be in progress and isn't being stopped.
+func (t *task) mayBeAtWork() bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return !r.stopping })
+}
+
+// giveUp keeps a task that has crashed its workers from being started again, while the other tasks of its job go on. The job fails
+// once none of them is at work.
+func (s *Scheduler) giveUp(t *task) {
+	h := t.history()
+	s.givenUp[t.job()] = true
+	if h.givenUp {
+		return
+	}
+	h.givenUp = true
+	s.logExhausted(t, true)
+}
+
+// checkGivenUp fails the jobs with a task that was given up of which no other task is at work any more.
+func (s *Scheduler) checkGivenUp() {
+	for j := range s.givenUp {
+		if !j.open() {
+			delete(s.givenUp, j)
+			continue
+		}
+		s.checkAttempts(j)
+	}
+}
+
+func (s *Scheduler) logExhausted(t *task, held bool) {
 	j, h := t.job(), t.history()
 	s.Log.WriteFunc(event.CrashesExhausted, func() event.Fields {
 		return event.Fields{
 			"job": j.ID, "task": t.id().String(), "crashes": len(h.runs), "crashes_sole": h.sole, "unconfirmed": h.unconfirmed, "queue": j.Queue,
+			"held": held,
 		}
 	})
+}
+
+// failForCrashes ends the job of a task that has crashed its workers.
+func (s *Scheduler) failForCrashes(t *task) {
+	j, h := t.job(), t.history()
+	s.logExhausted(t, false)
 	s.endJob(j, work.Failed, "task "+t.id().String()+" has crashed "+strconv.Itoa(len(h.runs)-h.unconfirmed)+" workers")
 }
 
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -21,13 +21,13 @@
 	minIsolationTime = 200 * time.Millisecond
 	// provenTime is the survival from which crashes no longer count against a task, neither this nor earlier ones.
 	provenTime = 5 * time.Second
-	// A task is certain to crash its workers after suspectsWithSole crashes under runs that had begun and may have caused them, while
-	// no other worker crashed, one of them as the only one; after soleCrashes as the only one among crashesWithSole; or after maxSuspects that it may have caused. The
-	// users' pages allow a job to be given up after two crashes.
-	suspectsWithSole = 2
-	soleCrashes      = 2
-	crashesWithSole  = 3
-	maxSuspects      = 4
+	// A task is certain to crash its workers after likelyWithSole crashes under runs that had begun and were the likeliest cause,
+	// while no other worker crashed, one of them as the only possible one; after soleCrashes as the only possible cause among
+	// crashesWithSole; or after maxLikely as the likeliest cause. The users' pages allow a job to be given up after two crashes.
+	likelyWithSole  = 2
+	soleCrashes     = 2
+	crashesWithSole = 3
+	maxLikely       = 4
 	// crashesToAccuse is the number of crashes from which a task runs alone whether or not it is their likely cause.
 	crashesToAccuse = 3
 	// rackCauseTime is the time between the crashes of two workers of a rack that may have a common cause, commonCauseTime the same
@@ -41,14 +41,16 @@
 type crashHistory struct {
 	// runs lists the numbers of the runs that ended in a crash.
 	runs []int64
-	// suspect counts those that may have caused a confirmed crash, sole those of them as the only ones, begunSuspect and begunSole
-	// those of both that are known to have begun, while no other worker crashed, and unconfirmed those of which it isn't known
-	// whether the worker crashed.
-	suspect, sole, begunSuspect, begunSole, unconfirmed int
+	// suspect counts those that may have caused a confirmed crash, likely those that were its likeliest cause, sole those that were the
+	// only possible one, begunLikely and begunSole those of both that are known to have begun, while no other worker crashed, and
+	// unconfirmed those of which it isn't known whether the worker crashed.
+	suspect, likely, sole, begunLikely, begunSole, unconfirmed int
 	// longest is the longest survival of these runs.
 	longest time.Duration
 	// change is the number of the job's change that must be stored before the task starts again.
 	change uint64
+	// givenUp is set once the task isn't started again.
+	givenUp bool
 	// cleared is set once a run has lasted long enough since the last crash.
 	cleared bool
 }
@@ -69,9 +71,9 @@
 	switch {
 	case h == nil || h.cleared:
 		return unsuspected
-	case h.suspect > 1 || len(h.runs) >= crashesToAccuse:
+	case h.likely > 1 || len(h.runs) >= crashesToAccuse:
 		return accused
-	case h.suspect+h.unconfirmed > 0:
+	case h.likely+h.unconfirmed > 0 || h.suspect > 1:
 		return suspected
 	}
 	return unsuspected
@@ -84,15 +86,15 @@
 	}
 	confirmed := len(h.runs) - h.unconfirmed
 	switch {
-	case h.begunSole > 0 && h.begunSuspect >= suspectsWithSole, h.sole >= soleCrashes && confirmed >= crashesWithSole:
+	case h.begunSole > 0 && h.begunLikely >= likelyWithSole, h.sole >= soleCrashes && confirmed >= crashesWithSole:
 		return true
 	}
-	return h.suspect >= maxSuspects
+	return h.likely >= maxLikely
 }
 
 // isHeld reports whether the task may not start before it is known whether the workers of its runs have crashed.
 func (h *crashHistory) isHeld() bool {
-	return h != nil && len(h.runs) >= maxSuspects && h.unconfirmed > 0
+	return h != nil && len(h.runs) >= maxLikely && h.unconfirmed > 0
 }
 
 // isolationTime returns for how long a run must have lasted before others may run beside it.
@@ -224,10 +226,10 @@
 	for _, r := range runs {
 		c := s.crashedRun(r, limit)
 		c.Unconfirmed = unconfirmed
-		if r.survived() >= provenTime || unconfirmed && !c.Suspect || r.task.done || !r.task.job().open() {
+		if r.survived() >= provenTime || unconfirmed && !c.Likely || r.task.done || !r.task.job().open() {
 			continue
 		}
-		if c.Suspect {
+		if c.Likely {
 			suspects++
 		}
 		s.addCrash(r.task, c)
@@ -249,14 +251,15 @@
 	return jobs
 }
 
-// crashedRun returns the record of a crash under the run. Runs that are known to have lasted for less than the limit may have
-// caused it.
+// crashedRun returns the record of a crash under the run. Runs that are known to have lasted for less than the limit are its
+// likeliest cause.
 func (s *Scheduler) crashedRun(r *run, limit time.Duration) work.CrashedRun {
 	w, id, survived := r.worker, r.task.id(), r.survived()
-	suspect, common := survived < limit || w.runsOnly(r.task), s.hasCommonCause(r)
+	likely, common := survived < limit || w.runsOnly(r.task), s.hasCommonCause(r)
+	suspect := likely || survived < startCrashTime
 	return work.CrashedRun{
 		Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
-		SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Sole: suspect && !common && w.isSoleSuspect(r.task), Common: common,
+		SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Likely: likely, Sole: suspect && !common && w.isSoleSuspect(r.task), Common: common,
 		Unanswered: r.isUnanswered() || r.confirmedAt == 0,
 	}
 }
@@ -341,9 +344,10 @@
 // addCrash adds a crash to the history of the task and to the job's record.
 func (s *Scheduler) addCrash(t *task, c work.CrashedRun) {
 	j := t.job()
-	if slices.ContainsFunc(j.crashes, c.IsSameRun) {
+	if slices.ContainsFunc(j.crashes, func(known work.CrashedRun) bool { return known.IsSameRun(c) && !known.Trial }) {
 		return
 	}
+	j.removeTrial(t)
 	j.crashes = append(j.crashes, c)
 	t.countCrash(c)
 	h := t.history()
@@ -385,11 +389,14 @@
 	if c.Suspect {
 		h.suspect++
 	}
+	if c.Likely {
+		h.likely++
+	}
 	if c.Sole {
 		h.sole++
 	}
-	if c.Suspect && !c.Unanswered && !c.Common {
-		h.begunSuspect++
+	if c.Likely && !c.Unanswered && !c.Common {
+		h.begunLikely++
 	}
 	if c.Sole && !c.Unanswered {
 		h.begunSole++
@@ -404,8 +411,11 @@
 			continue
 		}
 		j.crashes = append(j.crashes, c)
-		t.countCrash(c)
 		t.nextRun = max(t.nextRun, c.Run+1)
+		if c.Trial {
+			continue
+		}
+		t.countCrash(c)
 		if c.Unconfirmed {
 			s.addDoubt(c, j)
 		}
@@ -422,8 +432,10 @@
 	cleared := make(map[*task]bool)
 	for _, c := range j.crashes {
 		t := s.crashedTask(j, c)
-		cleared[t] = t.history().cleared
-		if keep(&c) {
+		if t.history() != nil {
+			cleared[t] = t.history().cleared
+		}
+		if c.Trial || keep(&c) {
 			kept = append(kept, c)
 		}
 	}
@@ -433,6 +445,9 @@
 	j.crashes = kept
 	change := s.markDirty(j)
 	for _, c := range kept {
+		if c.Trial {
+			continue
+		}
 		t := s.crashedTask(j, c)
 		t.countCrash(c)
 		t.history().change, t.history().cleared = change, cleared[t]
@@ -443,7 +458,7 @@
 func (s *Scheduler) deadlyTask(j *job) *task {
 	for _, c := range j.crashes {
 		t := s.crashedTask(j, c)
-		if !t.done && t.history().hasCrashedWorkers() {
+		if !t.done && !c.Trial && t.history().hasCrashedWorkers() {
 			return t
 		}
 	}
@@ -461,6 +476,8 @@
 	if r.isolation != unsuspected && survived >= h.isolationTime() {
 		r.setIsolation(unsuspected)
 		h.cleared = true
+		t.job().removeTrial(t)
+		s.markDirty(t.job())
 		s.Log.WriteFunc(event.TaskCleared, func() event.Fields {
 			return event.Fields{"task": t.id().String(), "run": r.number, "worker": r.worker.ID, "survived_ms": survived.Milliseconds(), "crashes": len(h.runs)}
 		})
--- a/keel/schedule/gang.go
+++ b/keel/schedule/gang.go
@@ -20,8 +20,8 @@
 // startGang starts all members of the gang on the given workers, or on the pool's usable ones if none are given, and reports
 // whether it did.
 func (pl *planner) startGang(step *stepState, from *candidates) bool {
-	// All members get the same run number, the highest that one of them needs.
-	number := int64(0)
+	// All members get the same run number.
+	number := step.nextRun()
 	reserved := make(reservations)
 	selected := make([]*workerState, len(step.tasks))
 	for i, t := range step.tasks {
@@ -41,7 +41,6 @@
 		}
 		reserved.add(w, step.size())
 		selected[i] = w
-		number = max(number, t.nextRun)
 	}
 	for i, t := range step.tasks {
 		pl.s.start(t, selected[i], number, step.tickets.forWorker(selected[i]))
@@ -49,6 +48,15 @@
 	return true
 }
 
+// nextRun returns the number for the next run of the gang, the highest that one of its members needs.
+func (st *stepState) nextRun() int64 {
+	number := int64(0)
+	for _, t := range st.tasks {
+		number = max(number, t.nextRun)
+	}
+	return number
+}
+
 // reservations holds what the members of a gang take on each worker before any of them starts.
 type reservations map[*workerState]reservation
 
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -41,6 +41,8 @@
 	// capacity is free.
 	lastResort candidates
 	missing    missing
+	// fenced is set if no worker may be running tasks of the present job for an earlier leader.
+	fenced bool
 	// suspects is the number of suspected tasks that were not started.
 	suspects int
 }
@@ -156,6 +158,7 @@
 			// A speculative task may run twice, so it need not wait for workers that might still be running it.
 			if step.ready && step.done < len(step.tasks) && (fenced || step.spec.Speculative) {
 				held = false
+				pl.fenced = fenced
 				pl.placeStep(step)
 			}
 		}
@@ -194,9 +197,7 @@
 	if !pl.s.ensureTickets(step, pl) {
 		return
 	}
-	if len(step.occurrence.job.crashes) > 0 {
-		pl.placeSuspects(step)
-	}
+	pl.placeSuspects(step)
 	if pl.isHopeless(step) {
 		pl.addMissing(step, step.waiting)
 		return
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -80,6 +80,8 @@
 	lateStarts map[string]map[work.TaskID]int64
 	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
 	doubts map[string]*doubt
+	// givenUp holds the jobs with a task that isn't started again because it has crashed its workers.
+	givenUp map[*job]bool
 	// recentCrashes holds the crashes of workers within commonCauseTime.
 	recentCrashes []recentCrash
 	// workerOf holds the latest worker of each instance.
@@ -149,6 +151,7 @@
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
 	s.lateStarts = make(map[string]map[work.TaskID]int64)
+	s.givenUp = make(map[*job]bool)
 	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
 	s.unfenced = make(map[string]*workerState)
@@ -206,6 +209,7 @@
 	s.releaseDue()
 	s.checkWorkers(now)
 	s.checkRuns(now)
+	s.checkGivenUp()
 	s.starts.adjust()
 	s.stops.minimum = max(minStopLimit, int(minStopShare*float64(s.starts.inFlight)))
 	s.stops.adjust()
--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -114,10 +115,10 @@
 	return running+down < limit
 }
 
-// mayStartSuspect reports whether the task's crashes are known and stored.
+// mayStartSuspect reports whether the task's crashes are known and stored, and it wasn't given up.
 func (t *task) mayStartSuspect() bool {
 	h := t.history()
-	return t.job().storedChange >= h.change && !h.isHeld()
+	return t.job().storedChange >= h.change && !h.isHeld() && !h.givenUp
 }
 
 // trialWorkers returns the pool's workers that may get suspected tasks and pass the filter.
@@ -131,6 +132,9 @@
 
 // placeSuspects starts the step's suspected tasks apart from others.
 func (pl *planner) placeSuspects(step *stepState) {
+	if len(step.occurrence.job.crashes) == 0 || !pl.fenced {
+		return
+	}
 	unplaced := 0
 	for _, t := range step.tasks {
 		if t.suspicion() == unsuspected || !t.needsRun() || pl.now < t.notBefore || !t.mayStartSuspect() {
@@ -139,6 +143,10 @@
 		if !pl.s.starts.open() {
 			return
 		}
+		pl.s.countLostTrial(t)
+		if !t.mayStartSuspect() {
+			continue
+		}
 		w := pl.selectForSuspect(t)
 		if w == nil {
 			unplaced++
@@ -147,7 +155,11 @@
 			pl.reserveFor(t, min(unplaced, max(maxMissingTrials, t.job().pool.waitingSuspects/waitingPerTrial)))
 			continue
 		}
-		pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
+		if pl.s.mayStartTrial(t, t.nextRun) {
+			pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
+			continue
+		}
+		w.reservedUntil = pl.now + reservationTime
 	}
 }
 
@@ -244,7 +256,11 @@
 // placeSuspectedGang starts all members of a suspected gang in one pass on workers with nothing else, or none.
 func (pl *planner) placeSuspectedGang(step *stepState) {
 	first := step.tasks[0]
-	if !first.mayStartSuspect() {
+	if slices.ContainsFunc(step.tasks, func(t *task) bool { return !t.needsRun() || pl.now < t.notBefore }) {
+		return
+	}
+	pl.s.countLostTrial(first)
+	if !first.mayStartSuspect() || !pl.s.mayStartTrial(first, step.nextRun()) {
 		return
 	}
 	c := pl.trialWorkers(first.job().pool, (*workerState).isEmpty)
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -43,6 +43,8 @@
 	waitCrashStored waitCause = "crash_not_stored"
 	waitCrashKnown  waitCause = "crash_unconfirmed"
 	waitIsolation   waitCause = "isolation"
+	// waitGivenUp means that the task isn't started again because it has crashed its workers.
+	waitGivenUp waitCause = "given_up"
 	// waitNone means that a worker has room for the task and may run it.
 	waitNone waitCause = "none"
 	// waitUnexplained is the cause of tasks beyond maxExplainedSteps and maxReportedJobs.
@@ -283,6 +285,8 @@
 	switch h := t.history(); {
 	case t.job().storedChange < h.change:
 		return waitCrashStored
+	case h.givenUp:
+		return waitGivenUp
 	case h.isHeld():
 		return waitCrashKnown
 	}
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -50,8 +50,10 @@
 	Instance string `json:"m,omitempty"`
 	// SurvivedMillis is for how many milliseconds the run is known to have lasted.
 	SurvivedMillis int64 `json:"ms,omitempty"`
-	// Suspect reports that the run may have caused the crash, because it had begun shortly before.
+	// Suspect reports that the run may have caused the crash, because it had begun shortly before; Likely that of the runs on the
+	// worker it is one of the likeliest.
 	Suspect bool `json:"suspect,omitempty"`
+	Likely  bool `json:"likely,omitempty"`
 	// Sole reports that nothing else on the worker may have caused the crash: nothing else ran there, or not only recently.
 	Sole bool `json:"sole,omitempty"`
 	// Common reports that other workers crashed at the same time, so that the crash may have another cause.
@@ -60,6 +62,9 @@
 	Unanswered bool `json:"unanswered,omitempty"`
 	// Unconfirmed reports that the worker was silent until its lease expired, so that it isn't known whether it crashed.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// Trial reports that no crash is known: the record is stored before the run of a suspected task is started, so that the next
+	// leader learns of a run that it finds neither on a worker nor among the ends.
+	Trial bool `json:"trial,omitempty"`
 }
 
 // IsSameRun reports whether both are records of the same run.
@@ -116,7 +121,7 @@
 	if i < 0 {
 		return append(crashes, c)
 	}
-	if crashes[i].Unconfirmed {
+	if crashes[i].Unconfirmed || crashes[i].Trial {
 		crashes[i] = c
 	}
 	return crashes
