A given-up task stays given up; tasks that crash late run apart from other suspected ones

The decision is now made from the counts. A suspected task whose runs lasted a while before the crash shares no worker with others, which would be taken for the cause.

--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -49,7 +49,7 @@
 	longest time.Duration
 	// change is the number of the job's change that must be stored before the task starts again.
 	change uint64
-	// givenUp is set once the task isn't started again.
+	// givenUp is set once it was logged that the task isn't started again while others of its job go on.
 	givenUp bool
 	// cleared is set once a run has lasted long enough since the last crash.
 	cleared bool
@@ -429,17 +429,17 @@
 // keepCrashes keeps the job's crashes for which keep returns true, and counts them anew.
 func (s *Scheduler) keepCrashes(j *job, keep func(*work.CrashedRun) bool) {
 	var kept []work.CrashedRun
-	cleared := make(map[*task]bool)
+	before := make(map[*task]crashHistory)
 	for _, c := range j.crashes {
 		t := s.crashedTask(j, c)
 		if t.history() != nil {
-			cleared[t] = t.history().cleared
+			before[t] = *t.history()
 		}
 		if c.Trial || keep(&c) {
 			kept = append(kept, c)
 		}
 	}
-	for t := range cleared {
+	for t := range before {
 		t.crashes, t.step.crashes = nil, nil
 	}
 	j.crashes = kept
@@ -450,7 +450,8 @@
 		}
 		t := s.crashedTask(j, c)
 		t.countCrash(c)
-		t.history().change, t.history().cleared = change, cleared[t]
+		h := t.history()
+		h.change, h.cleared, h.givenUp = change, before[t].cleared, before[t].givenUp
 	}
 }
 
--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -54,13 +54,20 @@
 		return false
 	}
 	for _, r := range w.runs {
-		if r.survived() < recentStart {
+		if r.survived() < recentStart || !r.task.crashesSoon() {
 			return false
 		}
 	}
 	return true
 }
 
+// crashesSoon reports whether the task's runs that ended in crashes had begun just before, so that another run that begins later
+// isn't taken for the cause of the next one.
+func (t *task) crashesSoon() bool {
+	h := t.history()
+	return h == nil || h.longest < recentStart
+}
+
 // isEmpty reports whether nothing runs on the worker.
 func (w *workerState) isEmpty() bool { return len(w.runs)+len(w.orphans) == 0 }
 
@@ -115,10 +122,10 @@
 	return running+down < limit
 }
 
-// mayStartSuspect reports whether the task's crashes are known and stored, and it wasn't given up.
+// mayStartSuspect reports whether the task's crashes are known and stored, and it isn't to be given up.
 func (t *task) mayStartSuspect() bool {
 	h := t.history()
-	return t.job().storedChange >= h.change && !h.isHeld() && !h.givenUp
+	return t.job().storedChange >= h.change && !h.isHeld() && !h.hasCrashedWorkers()
 }
 
 // trialWorkers returns the pool's workers that may get suspected tasks and pass the filter.
@@ -172,7 +179,7 @@
 		c := pl.trialWorkers(p, (*workerState).isEmpty)
 		w = pl.selectFrom(&c, t.step, t, nil)
 	}
-	if w == nil && t.suspicion() == suspected && p.waitingSuspects >= waitingPerTrial {
+	if w == nil && t.suspicion() == suspected && t.crashesSoon() && p.waitingSuspects >= waitingPerTrial {
 		c := pl.trialWorkers(p, (*workerState).mayJoin)
 		w = pl.selectFrom(&c, t.step, t, nil)
 	}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -285,7 +285,7 @@
 	switch h := t.history(); {
 	case t.job().storedChange < h.change:
 		return waitCrashStored
-	case h.givenUp:
+	case h.hasCrashedWorkers():
 		return waitGivenUp
 	case h.isHeld():
 		return waitCrashKnown
