Lost workers fail no job: silent, drained and crashed together

TestLostWorkersFailNoJob passed at once on the code before it; a first form, in which a task alone in its pool lost its worker three times, failed and showed nothing: such a task can't be told from one that crashes its workers.

--- a/keel/schedule/crash_test.go
+++ b/keel/schedule/crash_test.go
@@ -159,3 +159,80 @@
 	})
 	return n
 }
+
+// hostOfFirstJob waits until a task of the first job has a run and returns the instance that it is on, or an empty name if the job
+// has ended.
+func (b *testbed) hostOfFirstJob() string {
+	for b.state() == work.Queued || b.state() == work.Running {
+		host := ""
+		b.onLoop(func() {
+			for _, w := range b.s.workers {
+				for id := range w.runs {
+					if id.Job == firstJob {
+						host = w.Instance
+					}
+				}
+			}
+		})
+		if host != "" {
+			return host
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return ""
+}
+
+// harmlessLosses holds ways in which a task that can be done loses its worker three times.
+var harmlessLosses = map[string]func(b *testbed, host string){
+	"unreachable": func(b *testbed, host string) {
+		b.fleet.SetUnreachable(true, host)
+		time.Sleep(9 * time.Second)
+		b.fleet.SetUnreachable(false, host)
+	},
+	"unreachable and without heartbeats": func(b *testbed, host string) {
+		b.fleet.SetUnreachable(true, host)
+		b.fleet.SetSilent(true, host)
+		time.Sleep(9 * time.Second)
+		b.fleet.SetUnreachable(false, host)
+		b.fleet.SetSilent(false, host)
+	},
+	"drained": func(b *testbed, host string) {
+		b.fleet.Drain(host, time.Second)
+		time.Sleep(2 * time.Second)
+	},
+	"crashed with all other workers": func(b *testbed, _ string) {
+		for _, id := range b.fleet.Instances() {
+			b.fleet.Crash(id, time.Second)
+		}
+		time.Sleep(3 * time.Second)
+	},
+}
+
+// Guards against a job that is given up for crashes although its task can be done: its workers are silent, leave, or crash for a
+// reason of their own.
+func TestLostWorkersFailNoJob(t *testing.T) {
+	for name, lose := range harmlessLosses {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				for n := range 8 {
+					b.addInstance(fmt.Sprintf("m%d", n))
+				}
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				// A long-running task on each worker keeps the pool from giving up instances.
+				(&crashCase{Services: 8}).submitOthers(b)
+				b.submit(singleStepJob(firstJob, "p", 1, 4*time.Second), 4*time.Second)
+				for range 3 {
+					time.Sleep(time.Second)
+					host := b.hostOfFirstJob()
+					if host == "" {
+						break
+					}
+					lose(b, host)
+				}
+				time.Sleep(30 * time.Second)
+				assert.Equal(t, b.state(), work.Completed)
+			})
+		})
+	}
+}
