A lone run that lasted a while isn't the likeliest cause of a crash; no copy beside a crashed worker

Such a crash now counts only as one as the only possible cause, of which two are needed. TestNoCopyOfRunOnCrashedWorker is new; it fails with two crashes within 200 ms if copies are made of runs on workers that may have crashed.

--- a/keel/emulator/crash.go
+++ b/keel/emulator/crash.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// HasEnded reports whether the last worker at the address has ended.
+func (f *Fleet) HasEnded(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[address]
+	return w == nil || w.ended
+}
+
 // PeakDownByTasks returns the largest number of workers of one pool that were down at a time because of tasks that crash
 // their workers.
 func (f *Fleet) PeakDownByTasks() int {
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -255,8 +255,9 @@
 // likeliest cause.
 func (s *Scheduler) crashedRun(r *run, limit time.Duration) work.CrashedRun {
 	w, id, survived := r.worker, r.task.id(), r.survived()
-	likely, common := survived < limit || w.runsOnly(r.task), s.hasCommonCause(r)
-	suspect := likely || survived < startCrashTime
+	alone, common := w.runsOnly(r.task), s.hasCommonCause(r)
+	likely := survived < limit || alone && survived < startCrashTime
+	suspect := alone || survived < startCrashTime
 	return work.CrashedRun{
 		Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
 		SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Likely: likely, Sole: suspect && !common && w.isSoleSuspect(r.task), Common: common,
--- a/keel/schedule/crash_test.go
+++ b/keel/schedule/crash_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -11,6 +12,7 @@
 
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
 )
 
 // crashCase is a play with jobs of which one task crashes each worker that starts it.
@@ -160,6 +162,43 @@
 	return n
 }
 
+// breakRenewals makes renewals fail as soon as their worker has ended, as a connection does that is closed by its peer.
+func (b *testbed) breakRenewals() {
+	workers := b.fleet.WorkerClient("leader")
+	b.setRenew(func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil && !b.fleet.HasEnded(to.Address) {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		return workers.Renew(ctx, to, o)
+	})
+}
+
+// Guards against a copy of a run on a worker that the run has just crashed, which crashes a second one.
+func TestNoCopyOfRunOnCrashedWorker(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for n := range 8 {
+			b.addInstance(fmt.Sprintf("m%d", n))
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		job := singleStepJob(firstJob, "p", 1, 600*time.Millisecond)
+		job.Steps[0].Speculative = true
+		b.submit(job, 600*time.Millisecond)
+		b.checker.MakeDeadly(work.TaskID{Job: firstJob}, 10*time.Millisecond)
+		b.breakRenewals()
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, b.checker.Crashes(firstJob), 1)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.state(), work.Failed)
+		assert.Equal(t, b.checker.Crashes(firstJob), 2)
+	})
+}
+
 // hostOfFirstJob waits until a task of the first job has a run and returns the instance that it is on, or an empty name if the job
 // has ended.
 func (b *testbed) hostOfFirstJob() string {
