--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -19,7 +19,7 @@
 	startCrashTime = time.Second
 	// minIsolationTime is the shortest survival from which others may run beside a suspected task.
 	minIsolationTime = 200 * time.Millisecond
-	// provenTime is the survival from which crashes no longer count against a task, neither this nor earlier ones.
+	// provenTime is the survival from which no crash counts against a task, neither this nor earlier ones.
 	provenTime = 5 * time.Second
 	// A task is certain to crash its workers after likelyWithSole crashes under runs that had begun and were the likeliest cause,
 	// while no other worker crashed, one of them as the only possible one; after soleCrashes as the only possible cause among
@@ -51,8 +51,6 @@
 	change uint64
 	// givenUp is set once it was logged that the task isn't started again while others of its job go on.
 	givenUp bool
-	// cleared is set once a run has lasted long enough since the last crash.
-	cleared bool
 }
 
 // suspicion is how far a task is kept apart from others.
@@ -69,7 +67,7 @@
 
 func (h *crashHistory) suspicion() suspicion {
 	switch {
-	case h == nil || h.cleared:
+	case h == nil:
 		return unsuspected
 	case h.likely > 1 || len(h.runs) >= crashesToAccuse:
 		return accused
@@ -352,7 +350,6 @@
 	j.crashes = append(j.crashes, c)
 	t.countCrash(c)
 	h := t.history()
-	h.cleared = false
 	h.change = s.markDirty(j)
 	if c.Unconfirmed {
 		s.addDoubt(c, j)
@@ -452,7 +449,7 @@
 		t := s.crashedTask(j, c)
 		t.countCrash(c)
 		h := t.history()
-		h.change, h.cleared, h.givenUp = change, before[t].cleared, before[t].givenUp
+		h.change, h.givenUp = change, before[t].givenUp
 	}
 }
 
@@ -467,27 +464,22 @@
 	return nil
 }
 
-// checkSurvival clears the task of a run that has lasted long enough, and forgets its crashes once it is proven.
+// checkSurvival forgets the crashes of the task of a run that has lasted longer than those that ended in crashes: a task that
+// crashes its workers does so each time.
 func (s *Scheduler) checkSurvival(r *run) {
 	t := r.task
 	h := t.history()
-	if h == nil || !t.job().open() {
-		return
-	}
 	survived := r.survived()
-	if r.isolation != unsuspected && survived >= h.isolationTime() {
-		r.setIsolation(unsuspected)
-		h.cleared = true
-		t.job().removeTrial(t)
-		s.markDirty(t.job())
-		s.Log.WriteFunc(event.TaskCleared, func() event.Fields {
-			return event.Fields{"task": t.id().String(), "run": r.number, "worker": r.worker.ID, "survived_ms": survived.Milliseconds(), "crashes": len(h.runs)}
-		})
-		s.schedulePlan()
-	}
-	if survived >= provenTime {
-		s.keepCrashes(t.job(), func(c *work.CrashedRun) bool { return s.crashedTask(t.job(), *c).history() != h })
+	if h == nil || !t.job().open() || survived < h.isolationTime() || t.step.spec.Gang && survived < startCrashTime {
+		return
 	}
+	r.setIsolation(unsuspected)
+	s.Log.WriteFunc(event.TaskCleared, func() event.Fields {
+		return event.Fields{"task": t.id().String(), "run": r.number, "worker": r.worker.ID, "survived_ms": survived.Milliseconds(), "crashes": len(h.runs)}
+	})
+	t.job().removeTrial(t)
+	s.keepCrashes(t.job(), func(c *work.CrashedRun) bool { return s.crashedTask(t.job(), *c).history() != h })
+	s.schedulePlan()
 }
 
 // doubt is a worker that was silent until its lease expired, with the jobs of the runs that may have crashed it.
