--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -214,8 +214,8 @@
 	s.ledger.flush()
 }
 
-// recordCrash records a crash under each run of the worker and returns the jobs of these runs. Without confirmation only the
-// runs count that may have caused it.
+// recordCrash records a crash under each run of the worker and returns the jobs of these runs. If it isn't known whether the worker
+// has crashed, only the runs count that would be its likeliest cause.
 func (s *Scheduler) recordCrash(w *workerState, reason string, unconfirmed bool) []*job {
 	runs := sortedRuns(w.runs)
 	limit := suspectLimit(runs)
