Crashes and silences with a common cause keep no task apart; runs that may never have begun convict nobody

Now a stored run that no worker lists only keeps its task apart, a silent worker counts only if no other of its data centre is silent, and keel/job counts no crash while another worker of the rack is down.

--- a/keel/job/crash.go
+++ b/keel/job/crash.go
@@ -9,9 +9,12 @@
 	"samphirekeel.example/keel/rowset"
 )
 
-// maxCrashes is the number of workers that crash under a job, all but the first while nothing else ran on them, after which the
-// job fails.
-const maxCrashes = 3
+const (
+	// crashesToIsolate is the number of workers that crash under a job after which it runs on workers without other jobs.
+	crashesToIsolate = 2
+	// maxCrashes is the number of workers that crash under a job, the last one without other jobs, after which the job fails.
+	maxCrashes = 3
+)
 
 // recordLapsed records that the task's lease has expired. If its worker crashed, that counts against the job.
 func (p *planner) recordLapsed(found rowset.Versioned[Record]) {
@@ -27,24 +30,42 @@
 		p.finish(found, Failed, "workers have crashed under the job")
 		return
 	}
-	p.recordInterrupted(found, "worker crashed")
+	p.recordInterrupted(found, "lease lapsed")
 }
 
-// workerCrashed reports whether the job's worker is known to have crashed: it is down or has booted again, and was neither leaving
-// nor rebooted on purpose. A worker that is only silent hasn't.
+// workerCrashed reports whether the job's worker is known to have crashed for a reason of its own: it is down or has booted again,
+// was neither leaving nor rebooted on purpose, and no other of its rack has. A worker that is only silent hasn't.
 func (s *poolScheduler) workerCrashed(job Record) bool {
 	listing, listed := s.c.View.InstanceList().Get(job.Worker)
 	inst, known := s.c.View.Inventory().Get(job.Worker)
 	if !listed || !known || inst.Value.State == instance.Leaving || inst.Value.State == instance.Drained || len(inst.Value.Waves) > 0 {
 		return false
 	}
-	return listing.Liveness == platform.Down || job.Boot != 0 && listing.Boot > job.Boot
+	crashed := listing.Liveness == platform.Down || job.Boot != 0 && listing.Boot > job.Boot
+	return crashed && !s.rackCrashed(job.Worker, inst.Value)
 }
 
-// maySuspect reports whether the candidate may get the job as far as crashes under it are concerned: such a job needs a worker
+// rackCrashed reports whether another worker of the instance's rack is down or has booted since it was last seen in service.
+func (s *poolScheduler) rackCrashed(key string, inst instance.Record) bool {
+	for other := range s.c.View.Inventory().All {
+		if other.Key() == key || other.Value.Rack != inst.Rack || other.Value.DataCentre != inst.DataCentre || inst.Rack == "" {
+			continue
+		}
+		listing, listed := s.c.View.InstanceList().Get(other.Key())
+		if other.Value.State == instance.Failed || listed && (listing.Liveness == platform.Down || listing.Boot > other.Value.Boot) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSuspected reports whether the job runs on workers without other jobs.
+func (r Record) isSuspected() bool { return len(r.CrashedOn) >= crashesToIsolate }
+
+// maySuspect reports whether the candidate may get the job as far as crashes under it are concerned: a suspected job needs a worker
 // without others, unless it has waited for too long.
 func (p *planner) maySuspect(job Record, candidate *Candidate) bool {
-	return len(job.CrashedOn) == 0 || candidate.Free == candidate.Capacity || p.starved(job)
+	return !job.isSuspected() || candidate.Free == candidate.Capacity || p.starved(job)
 }
 
 // reportsRoom reports whether the worker has room for the size by the capacity that it reports now, which may be less than that of
--- a/keel/job/place.go
+++ b/keel/job/place.go
@@ -89,14 +89,14 @@
 	next.Boot = listing.Boot
 	p.batch.putJob(found, next)
 	p.batch.assign(WorkerKey(p.pool, candidate.Name), candidate.Name, found.Key(), size)
-	if len(job.CrashedOn) > 0 {
+	if job.isSuspected() {
 		p.batch.isolate(WorkerKey(p.pool, candidate.Name))
 	}
 	// The commit fails if the instance's row has changed, so that no job is placed on a worker that began to leave.
 	p.batch.addCondition(inst.Condition())
 	free := subtract(candidate.Free, size)
 	p.index.Allocate(candidate.Name, size)
-	if len(job.CrashedOn) > 0 {
+	if job.isSuspected() {
 		p.index.Remove(candidate.Name)
 	}
 	p.serviceUsage[job.Service].Used = p.serviceUsage[job.Service].Used.Plus(size)
@@ -149,7 +149,7 @@
 // handleUnplaceable reserves a worker and starts preemption for an urgent or starved job; other jobs stay queued.
 func (p *planner) handleUnplaceable(found rowset.Versioned[Record], size platform.Size) {
 	// A job that must avoid some workers shows nothing about other jobs of its size.
-	if len(found.Value.FailedOn)+len(found.Value.CrashedOn) == 0 {
+	if len(found.Value.FailedOn) == 0 && !found.Value.isSuspected() {
 		p.unplaceable = append(p.unplaceable, size)
 	}
 	if !p.withinUrgentShare(found.Value) && !p.starved(found.Value) || p.hasReservation(found.Key()) {
--- a/keel/job/record.go
+++ b/keel/job/record.go
@@ -84,7 +84,7 @@
 	FailedOn []string `json:"failed_on,omitempty"`
 	// Boot is the boot of the worker's instance when the job was placed, 0 if it wasn't known.
 	Boot uint64 `json:"boot,omitempty"`
-	// CrashedOn lists the workers that crashed under the job; from the first on it runs on workers without other jobs.
+	// CrashedOn lists the workers that crashed under the job.
 	CrashedOn  []string  `json:"crashed_on,omitempty"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Reason     string    `json:"reason,omitempty"`
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -249,6 +249,38 @@
 	return jobs
 }
 
+// recordSilentCrash records a crash of a worker that was silent until its lease expired, and returns the jobs of its runs. Unless
+// another worker is registered on its instance it isn't known whether it has crashed; and if others of its data centre are silent
+// too, the path to them is the likelier cause.
+func (s *Scheduler) recordSilentCrash(w *workerState) []*job {
+	if len(w.runs) == 0 || !w.mayHaveCrashed() || s.mayHaveLeft(w) {
+		return nil
+	}
+	const reason = "its lease has expired while it was silent"
+	if s.isReplaced(w) {
+		return s.recordCrash(w, reason, false)
+	}
+	last, known := s.silentExpiries[w.DataCentre]
+	s.silentExpiries[w.DataCentre] = s.Now()
+	if known && s.Now()-last < silentCauseTime || s.othersSilent(w) {
+		return nil
+	}
+	return s.recordCrash(w, reason, true)
+}
+
+// silentCauseTime is the time between the ends of the leases of two silent workers of a data centre that may have a common cause.
+const silentCauseTime = 2 * time.Second
+
+// othersSilent reports whether another worker of the data centre is silent.
+func (s *Scheduler) othersSilent(w *workerState) bool {
+	for _, other := range s.workers {
+		if other != w && other.DataCentre == w.DataCentre && other.unresponsiveSince != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // crashedRun returns the record of a crash under the run. Runs that are known to have lasted for less than the limit are its
 // likeliest cause.
 func (s *Scheduler) crashedRun(r *run, limit time.Duration) work.CrashedRun {
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -270,10 +270,8 @@
 // expireWorkerLease removes the runs of a worker whose lease has expired, because none of them can still be in progress.
 // A start order that had no response may be carried out later, if the worker has got another lease by then.
 func (s *Scheduler) expireWorkerLease(w *workerState) {
-	if len(w.runs) > 0 && w.mayHaveCrashed() && !s.mayHaveLeft(w) {
-		for _, j := range s.recordCrash(w, "its lease has expired while it was silent", !s.isReplaced(w)) {
-			defer s.checkAttempts(j)
-		}
+	for _, j := range s.recordSilentCrash(w) {
+		defer s.checkAttempts(j)
 	}
 	for _, r := range sortedRuns(w.runs) {
 		s.recordLateStart(r)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -80,6 +80,8 @@
 	lateStarts map[string]map[work.TaskID]int64
 	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
 	doubts map[string]*doubt
+	// silentExpiries holds, by data centre, when the lease of a silent worker last expired.
+	silentExpiries map[string]time.Duration
 	// givenUp holds the jobs with a task that isn't started again because it has crashed its workers.
 	givenUp map[*job]bool
 	// recentCrashes holds the crashes of workers within commonCauseTime.
@@ -151,6 +153,7 @@
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
 	s.lateStarts = make(map[string]map[work.TaskID]int64)
+	s.silentExpiries = make(map[string]time.Duration)
 	s.givenUp = make(map[*job]bool)
 	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
--- a/keel/schedule/trial.go
+++ b/keel/schedule/trial.go
@@ -56,7 +56,8 @@
 		return
 	}
 	c := j.crashes[i]
-	c.Trial, c.Suspect, c.Likely, c.Unanswered = false, true, true, true
+	// The leader may have ended before it sent the order, so that this counts for the isolation only.
+	c.Trial, c.Suspect, c.Unanswered = false, true, true
 	s.addCrash(t.trialKey(), c)
 	s.Log.Write(event.TrialLost, event.Fields{"task": t.id().String(), "run": c.Run, "crashes": len(t.history().runs)})
 	// The backlog may not change during a placement pass.
