--- a/keel/emulator/capacity.go
+++ b/keel/emulator/capacity.go
@@ -33,26 +33,23 @@
 
 // largestCapacity returns the largest capacity that the worker has had within knownTime, which limits starts.
 func (w *Worker) largestCapacity() work.Size {
-	size := w.capacity
-	for _, past := range w.past {
-		if time.Since(past.until) <= w.knownTime() {
-			size.MilliCores = max(size.MilliCores, past.size.MilliCores)
-			size.MemoryMB = max(size.MemoryMB, past.size.MemoryMB)
-			size.Accelerators = max(size.Accelerators, past.size.Accelerators)
-		}
-	}
-	return size
+	return w.recentCapacity(func(a, b int64) int64 { return max(a, b) })
 }
 
 // smallestCapacity returns the smallest capacity that the worker has had within knownTime, which counts as room for tasks
 // that wait.
 func (w *Worker) smallestCapacity() work.Size {
+	return w.recentCapacity(func(a, b int64) int64 { return min(a, b) })
+}
+
+// recentCapacity combines the capacities that the worker has had within knownTime.
+func (w *Worker) recentCapacity(combine func(a, b int64) int64) work.Size {
 	size := w.capacity
 	for _, past := range w.past {
 		if time.Since(past.until) <= w.knownTime() {
-			size.MilliCores = min(size.MilliCores, past.size.MilliCores)
-			size.MemoryMB = min(size.MemoryMB, past.size.MemoryMB)
-			size.Accelerators = min(size.Accelerators, past.size.Accelerators)
+			size.MilliCores = combine(size.MilliCores, past.size.MilliCores)
+			size.MemoryMB = combine(size.MemoryMB, past.size.MemoryMB)
+			size.Accelerators = combine(size.Accelerators, past.size.Accelerators)
 		}
 	}
 	return size
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -9,7 +9,6 @@
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/work"
-	"samphirekeel.example/keel/worker"
 )
 
 const (
@@ -17,19 +16,8 @@
 	recentStart = 100 * time.Millisecond
 	// startCrashTime is the survival from which a run isn't the likely cause of a crash.
 	startCrashTime = time.Second
-	// minIsolationTime is the shortest survival from which others may run beside a suspected task.
-	minIsolationTime = 200 * time.Millisecond
 	// provenTime is the survival from which no crash counts against a task, neither this nor earlier ones.
 	provenTime = 5 * time.Second
-	// A task is certain to crash its workers after likelyWithSole crashes under runs that had begun and were the likeliest cause,
-	// while no other worker crashed, one of them as the only possible one; after soleCrashes as the only possible cause among
-	// crashesWithSole; or after maxLikely as the likeliest cause. The users' pages allow a job to be given up after two crashes.
-	likelyWithSole  = 2
-	soleCrashes     = 2
-	crashesWithSole = 3
-	maxLikely       = 4
-	// crashesToAccuse is the number of crashes from which a task runs alone whether or not it is their likely cause.
-	crashesToAccuse = 3
 	// rackCauseTime is the time between the crashes of two workers of a rack that may have a common cause, commonCauseTime the same
 	// for a worker and commonCauseWorkers others of any racks.
 	rackCauseTime      = time.Second
@@ -37,80 +25,6 @@
 	commonCauseWorkers = 3
 )
 
-// crashHistory counts the crashes under a task, or under a gang.
-type crashHistory struct {
-	// runs lists the numbers of the runs that ended in a crash.
-	runs []int64
-	// suspect counts those that may have caused a confirmed crash, likely those that were its likeliest cause, sole those that were the
-	// only possible one, begunLikely and begunSole those of both that are known to have begun, while no other worker crashed, and
-	// unconfirmed those of which it isn't known whether the worker crashed.
-	suspect, likely, sole, begunLikely, begunSole, unconfirmed int
-	// longest is the longest survival of these runs.
-	longest time.Duration
-	// change is the number of the job's change that must be stored before the task starts again.
-	change uint64
-	// givenUp is set once it was logged that the task isn't started again while others of its job go on.
-	givenUp bool
-}
-
-// suspicion is how far a task is kept apart from others.
-type suspicion int
-
-const (
-	// unsuspected tasks run anywhere.
-	unsuspected suspicion = iota
-	// suspected tasks run beside other suspected ones only.
-	suspected
-	// accused tasks run alone.
-	accused
-)
-
-func (h *crashHistory) suspicion() suspicion {
-	switch {
-	case h == nil:
-		return unsuspected
-	case h.likely > 1 || len(h.runs) >= crashesToAccuse:
-		return accused
-	case h.likely+h.unconfirmed > 0 || h.suspect > 1:
-		return suspected
-	}
-	return unsuspected
-}
-
-// hasCrashedWorkers reports whether the task is certain to crash its workers.
-func (h *crashHistory) hasCrashedWorkers() bool {
-	if h == nil {
-		return false
-	}
-	confirmed := len(h.runs) - h.unconfirmed
-	switch {
-	case h.begunSole > 0 && h.begunLikely >= likelyWithSole, h.sole >= soleCrashes && confirmed >= crashesWithSole:
-		return true
-	}
-	return h.likely >= maxLikely
-}
-
-// isHeld reports whether the task may not start before it is known whether the workers of its runs have crashed.
-func (h *crashHistory) isHeld() bool {
-	return h != nil && len(h.runs) >= maxLikely && h.unconfirmed > 0
-}
-
-// isolationTime returns for how long a run must have lasted before others may run beside it.
-func (h *crashHistory) isolationTime() time.Duration {
-	return min(provenTime, max(minIsolationTime, 2*h.longest))
-}
-
-// history returns the crashes of the task, or of its gang; nil if there are none.
-func (t *task) history() *crashHistory {
-	if t.step.spec.Gang {
-		return t.step.crashes
-	}
-	return t.crashes
-}
-
-// suspicion returns how far the task is kept apart from others.
-func (t *task) suspicion() suspicion { return t.history().suspicion() }
-
 // survived returns for how long the run is known to have lasted: until the worker's last response.
 func (r *run) survived() time.Duration {
 	if r.confirmedAt == 0 {
@@ -240,7 +154,7 @@
 		return nil
 	}
 	if !unconfirmed {
-		s.countCrash(w)
+		s.countWorkerCrash(w)
 	}
 	s.Log.Write(event.WorkerCrashed, event.Fields{
 		"worker": w.ID, "instance": w.Instance, "pool": w.Pool, "reason": reason, "runs": len(runs), "suspects": suspects,
@@ -295,8 +209,8 @@
 	}
 }
 
-// countCrash counts a crash of the worker.
-func (s *Scheduler) countCrash(w *workerState) {
+// countWorkerCrash counts a crash of the worker.
+func (s *Scheduler) countWorkerCrash(w *workerState) {
 	s.Metrics.addCrash(w.Pool)
 	if w.isolated > 0 && w.pool != nil {
 		w.pool.trialCrashes[w.Instance] = s.Now()
@@ -396,43 +310,6 @@
 	}
 }
 
-// countCrash adds a crash to the history of the task, or of its gang, of which several members may be lost in one run.
-func (t *task) countCrash(c work.CrashedRun) {
-	h := t.history()
-	if h == nil {
-		h = &crashHistory{}
-		if t.step.spec.Gang {
-			t.step.crashes = h
-		} else {
-			t.crashes = h
-		}
-	}
-	h.longest = max(h.longest, time.Duration(c.SurvivedMillis)*time.Millisecond)
-	if slices.Contains(h.runs, c.Run) {
-		return
-	}
-	h.runs = append(h.runs, c.Run)
-	if c.Unconfirmed {
-		h.unconfirmed++
-		return
-	}
-	if c.Suspect {
-		h.suspect++
-	}
-	if c.Likely {
-		h.likely++
-	}
-	if c.Sole {
-		h.sole++
-	}
-	if c.Likely && !c.Unanswered && !c.Common {
-		h.begunLikely++
-	}
-	if c.Sole && !c.Unanswered {
-		h.begunSole++
-	}
-}
-
 // restoreCrashes applies the crashes that earlier leaders stored.
 func (s *Scheduler) restoreCrashes(j *job, crashes []work.CrashedRun) {
 	for _, c := range crashes {
@@ -513,76 +390,3 @@
 	s.keepCrashes(t.job(), func(c *work.CrashedRun) bool { return s.crashedTask(t.job(), *c).history() != h })
 	s.schedulePlan()
 }
-
-// doubt is a worker that was silent until its lease expired, with the jobs of the runs that may have crashed it.
-type doubt struct {
-	instance string
-	since    time.Duration
-	jobs     map[*job]bool
-}
-
-func (s *Scheduler) addDoubt(c work.CrashedRun, j *job) {
-	d := s.doubts[c.Worker]
-	if d == nil {
-		d = &doubt{instance: c.Instance, since: s.Now(), jobs: make(map[*job]bool)}
-		s.doubts[c.Worker] = d
-	}
-	d.jobs[j] = true
-}
-
-// resolveDoubt applies that the worker has crashed, or that it hasn't or that it will never be known.
-func (s *Scheduler) resolveDoubt(id string, crashed bool) {
-	d := s.doubts[id]
-	if d == nil {
-		return
-	}
-	delete(s.doubts, id)
-	for j := range d.jobs {
-		if !j.open() {
-			continue
-		}
-		s.keepCrashes(j, func(c *work.CrashedRun) bool {
-			if c.Worker == id && c.Unconfirmed {
-				c.Unconfirmed = false
-				return crashed
-			}
-			return true
-		})
-		s.checkAttempts(j)
-	}
-	s.schedulePlan()
-}
-
-// resolveListedDoubts resolves the doubts that an instance list, requested at the time sent, answers.
-func (s *Scheduler) resolveListedDoubts(sent time.Duration) {
-	for id, d := range s.doubts {
-		i, listed := s.fleet.instances[d.instance]
-		switch {
-		case d.since+listLag > sent:
-		case !listed:
-			if s.fleet.isGone(d.instance) {
-				s.resolveDoubt(id, false)
-			}
-		case i.State == provider.Down || i.State == provider.Up && i.Worker != id:
-			s.resolveDoubt(id, true)
-		default:
-			s.resolveDoubt(id, false)
-		}
-	}
-}
-
-// resolveReplacedDoubt applies that a worker has registered on the instance of one that was silent and isn't registered.
-func (s *Scheduler) resolveReplacedDoubt(r worker.Registration) {
-	for id, d := range s.doubts {
-		_, registered := s.registrations[id]
-		if id != r.ID && d.instance == r.Instance && r.Instance != "" && !registered {
-			s.resolveDoubt(id, true)
-		}
-	}
-}
-
-// mayHaveCrashed reports whether nothing shows that the silent worker is alive: no instance list that was requested well
-// after its last response has it.
-func (w *workerState) mayHaveCrashed() bool {
-	return w.unresponsiveSince != 0 && w.listedUpAt < w.unresponsiveSince+listLag
-}
--- a/keel/schedule/crash_test.go
+++ b/keel/schedule/crash_test.go
@@ -275,3 +275,21 @@
 		})
 	}
 }
+
+// Guards against a leader that ends because a stored record of a run names a task that can't exist.
+func TestRecordOfImpossibleTask(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 2*time.Second), 2*time.Second)
+		b.onLoop(func() {
+			b.s.restore(b.s.jobs[firstJob], &work.Progress{
+				Failures: []work.FailedRun{{Step: -1, Run: 1}, {Index: 7, Run: 1}},
+				Crashes:  []work.CrashedRun{{Index: -1, Run: 1}, {Occurrence: 3, Run: 1}, {Step: 9, Run: 1, Trial: true}},
+			})
+		})
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -272,6 +272,9 @@
 // task returns the task with the ID, or nil if the job has no such task. It creates the occurrence's state if
 // necessary.
 func (s *Scheduler) task(j *job, id work.TaskID) *task {
+	if min(id.Occurrence, id.Step, id.Index) < 0 {
+		return nil
+	}
 	if j == nil || id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
