--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -189,10 +189,14 @@
 	return w
 }
 
-// mayRunBesideOthers reports whether the task has waited so long for an empty worker that it runs beside others.
+// mayRunBesideOthers reports whether the task has waited so long for an empty worker that it runs beside others. After several
+// crashes it waits longer, since another crash beside others would show as little as those before.
 func (pl *planner) mayRunBesideOthers(t *task) bool {
-	waited := pl.now - t.readySince
-	return pl.mayOpenTrial(t) && (waited > busyIsolationPatience || waited > isolationPatience && t.job().pool.isMostlyFree())
+	patience := busyIsolationPatience
+	if t.job().pool.isMostlyFree() && len(t.history().runs) < crashesToAccuse {
+		patience = isolationPatience
+	}
+	return pl.now-t.readySince > patience && pl.mayOpenTrial(t)
 }
 
 // selectLeastUsed returns the worker with the fewest runs that has room for the task, or nil.
