review: case 1, no entry can lead any more after some hours, since no row of an ended job is ever removed

The script puts the rows that the system leaves of 600,000 ended jobs into the store and kills the leader. Each new leader reads all of them and loses its lease before it is ready, so that no accepted job starts. Ruled out: an outage of the store, which answers as usual, and too few workers.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -243,6 +243,22 @@
 	_ = e.command.Process.Signal(signal)
 }
 
+// peakMB returns the peak of the resident memory of the entry's process.
+func (e *entryProcess) peakMB() int {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(content), "\n") {
+		kilobytes := 0
+		n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes)
+		if n == 1 {
+			return kilobytes >> 10
+		}
+	}
+	return 0
+}
+
 // kill ends the process and waits for its end.
 func (s *site) kill(e *entryProcess) {
 	s.signal(e, syscall.SIGKILL)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -4,8 +4,10 @@
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,7 +25,9 @@
 
 type rowKey struct{ table, part, key string }
 
-type row struct {
+type tablePart struct{ table, part string }
+
+type storedRow struct {
 	value   string
 	version uint64
 }
@@ -37,8 +41,13 @@
 
 // store is a stand-in for the platform's store.
 type store struct {
-	mu      sync.Mutex
-	rows    map[rowKey]row
+	mu   sync.Mutex
+	rows map[rowKey]storedRow
+	// keys holds the keys of the rows of each table and part in their order.
+	keys map[tablePart][]string
+	// old and oldKeys hold the rows that are never changed.
+	old     map[rowKey]storedRow
+	oldKeys map[tablePart][]string
 	history []change
 	version uint64
 	changed chan struct{}
@@ -52,7 +61,7 @@
 }
 
 func newStore() *store {
-	return &store{rows: make(map[rowKey]row), changed: make(chan struct{}), began: time.Now(), parts: make(map[string]*sync.Mutex), slow: 1}
+	return &store{rows: make(map[rowKey]storedRow), keys: make(map[tablePart][]string), changed: make(chan struct{}), began: time.Now(), parts: make(map[string]*sync.Mutex), slow: 1}
 }
 
 func (s *store) setMode(mode string, slow int) {
@@ -96,10 +105,17 @@
 }
 
 func (s *store) apply(k rowKey, value string, deleted bool) {
-	if deleted {
+	in := tablePart{k.table, k.part}
+	i, known := slices.BinarySearch(s.keys[in], k.key)
+	switch {
+	case !deleted:
+		s.rows[k] = storedRow{value: value, version: s.version}
+		if !known {
+			s.keys[in] = slices.Insert(s.keys[in], i, k.key)
+		}
+	case known:
 		delete(s.rows, k)
-	} else {
-		s.rows[k] = row{value: value, version: s.version}
+		s.keys[in] = slices.Delete(s.keys[in], i, i+1)
 	}
 	s.history = append(s.history, change{key: k, value: value, version: s.version, deleted: deleted})
 }
@@ -273,27 +289,41 @@
 		limit = maxPageRows
 	}
 	s.mu.Lock()
-	var keys []rowKey
-	for k := range s.rows {
-		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && (q.Get("to") == "" || k.key < q.Get("to")) {
-			keys = append(keys, k)
-		}
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i].key < keys[j].key })
+	in := tablePart{q.Get("table"), q.Get("part")}
+	names, oldNames := inRange(s.keys[in], q.Get("from"), q.Get("to")), inRange(s.oldKeys[in], q.Get("from"), q.Get("to"))
 	rows, size, more := []map[string]any{}, 0, false
-	for _, k := range keys {
+	for len(names)+len(oldNames) > 0 {
 		if len(rows) >= limit || size > maxPageBytes-maxRowBytes*2 {
 			more = true
 			break
 		}
-		rows = append(rows, encodeRow(k, s.rows[k].value, s.rows[k].version, false))
-		size += len(s.rows[k].value)
+		k := rowKey{table: in.table, part: in.part}
+		var r storedRow
+		if len(oldNames) == 0 || len(names) > 0 && names[0] < oldNames[0] {
+			k.key, names = names[0], names[1:]
+			r = s.rows[k]
+		} else {
+			k.key, oldNames = oldNames[0], oldNames[1:]
+			r = s.old[k]
+		}
+		rows = append(rows, encodeRow(k, r.value, r.version, false))
+		size += len(r.value)
 	}
 	version := s.version
 	s.mu.Unlock()
 	respond(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": more, "ver": version, "nowMs": s.now()})
 }
 
+// inRange returns the names from the first to before the second one, which may be empty.
+func inRange(names []string, from, to string) []string {
+	first, _ := slices.BinarySearch(names, from)
+	end := len(names)
+	if to != "" {
+		end, _ = slices.BinarySearch(names, to)
+	}
+	return names[min(first, end):end]
+}
+
 func (s *store) listParts(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
@@ -366,3 +396,43 @@
 	defer s.mu.Unlock()
 	return s.rejected
 }
+
+// copyEnded adds n copies, under other IDs, of the rows that the system has written for jobs that have ended, as n further
+// jobs would leave them. It returns the number of rows of the given jobs and of those that were added.
+func (s *store) copyEnded(ids []string, n int, newID func() string) (before, added int) {
+	type source struct {
+		key   rowKey
+		value string
+	}
+	byJob := make(map[string][]source)
+	s.mu.Lock()
+	for k, r := range s.rows {
+		value, err := base64.StdEncoding.DecodeString(r.value)
+		if err == nil && slices.Contains(ids, k.key) {
+			byJob[k.key] = append(byJob[k.key], source{k, string(value)})
+			before++
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	// All is prepared before the store is locked, so that it answers as usual meanwhile.
+	old := make(map[rowKey]storedRow, 2*n)
+	keys := make(map[tablePart][]string)
+	for i := range n {
+		from, id := ids[i%len(ids)], newID()
+		for _, row := range byJob[from] {
+			k := row.key
+			k.key = id
+			old[k] = storedRow{value: base64.StdEncoding.EncodeToString([]byte(strings.ReplaceAll(row.value, from, id))), version: version}
+			in := tablePart{k.table, k.part}
+			keys[in] = append(keys[in], id)
+		}
+	}
+	for _, names := range keys {
+		slices.Sort(names)
+	}
+	s.mu.Lock()
+	s.old, s.oldKeys = old, keys
+	s.mu.Unlock()
+	return before, len(old)
+}
