--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -153,14 +153,6 @@
 			active[e.task][activity{e.worker, e.run}] = true
 		case "end":
 			delete(active[e.task], activity{e.worker, e.run})
-		case "gone":
-			for _, runs := range active {
-				for a := range runs {
-					if a.worker == e.worker {
-						delete(runs, a)
-					}
-				}
-			}
 		}
 	}
 	return found
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -81,7 +81,7 @@
 func (s *site) listen(ip string) net.Listener {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	return listener
 }
@@ -113,15 +113,9 @@
 	}
 	list := []map[string]any{}
 	for _, k := range s.workers {
-		k.mu.Lock()
-		state := "up"
-		if k.gone {
-			state = "down"
-		}
 		list = append(list, map[string]any{
-			"machine": k.instance, "pool": k.pool, "state": state, "zone": k.dataCentre, "labels": []string{"a", k.rack}, "capacity": k.capacity, "id": k.id,
+			"machine": k.instance, "pool": k.pool, "state": "up", "zone": k.dataCentre, "labels": []string{"a", k.rack}, "capacity": k.capacity, "id": k.id,
 		})
-		k.mu.Unlock()
 	}
 	respond(w, http.StatusOK, map[string]any{"machines": list, "nextPageToken": nil})
 }
@@ -174,7 +168,7 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	if !s.store.put("op", "config", config) {
-		cannotRun("configuration not stored")
+		s.finish(2, "cannot run: configuration not stored")
 	}
 }
 
@@ -203,12 +197,12 @@
 	// JSON is valid YAML.
 	encoded, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	e.settings = filepath.Join(s.folder, e.name+".yaml")
 	err = os.WriteFile(e.settings, encoded, 0o600)
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	s.entries = append(s.entries, e)
 	s.launch(e)
@@ -218,7 +212,7 @@
 func (s *site) launch(e *entryProcess) {
 	log, err := os.OpenFile(filepath.Join(s.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	command := exec.Command(s.program, "--metrics-port", "7071")
 	if s.maxFiles > 0 {
@@ -228,7 +222,7 @@
 	command.Stdout, command.Stderr = log, log
 	err = command.Start()
 	if err != nil {
-		cannotRun("start %s: %v", s.program, err)
+		s.finish(2, "cannot run: start %s: %v", s.program, err)
 	}
 	e.command, e.log, e.done = command, log, make(chan struct{})
 	go func(done chan struct{}) {
@@ -313,7 +307,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s%s", e.ip, e.callers, q.prefix, id), bytes.NewReader(body))
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	request.Host = q.host
 	request.Header.Set("Content-Type", "application/json")
@@ -331,7 +325,7 @@
 func (s *site) submit(q queueSpec, id string, job map[string]any, attempts int) bool {
 	body, err := json.Marshal(job)
 	if err != nil {
-		cannotRun("%v", err)
+		s.finish(2, "cannot run: %v", err)
 	}
 	for i := range attempts {
 		e := s.entries[i%len(s.entries)]
@@ -394,6 +388,9 @@
 	fmt.Println(result)
 	close(s.stop)
 	for _, e := range s.entries {
+		if e.command == nil {
+			continue
+		}
 		_ = e.command.Process.Signal(syscall.SIGCONT)
 		_ = e.command.Process.Kill()
 		<-e.done
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -95,15 +95,6 @@
 	return true
 }
 
-// drop removes a row.
-func (s *store) drop(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.apply(rowKey{table, "", key}, "", true)
-	s.notify()
-}
-
 func (s *store) apply(k rowKey, value string, deleted bool) {
 	in := tablePart{k.table, k.part}
 	i, known := slices.BinarySearch(s.keys[in], k.key)
@@ -125,19 +116,6 @@
 	s.changed = make(chan struct{})
 }
 
-// largestRow returns the size of the largest value in the tables of the system.
-func (s *store) largestRow() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	largest := 0
-	for k, r := range s.rows {
-		if k.table != "op" && k.table != "servers" {
-			largest = max(largest, base64.StdEncoding.DecodedLen(len(r.value)))
-		}
-	}
-	return largest
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	mode, slow := s.state()
 	switch mode {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,22 +38,21 @@
 	log                                           *recorder
 	leaseMax, stopTime                            time.Duration
 
-	mu       sync.Mutex
-	began    time.Time
-	token    int64
-	active   map[string]*activeRun
-	highest  map[string]int64
-	ended    []endedRun
-	lastEnd  int64
-	noted    int64
-	lease    time.Time
-	lapse    *time.Timer
-	changed  chan struct{}
-	seq      int
-	draining bool
-	gone     bool
-	server   *http.Server
-	maxEnds  int
+	mu      sync.Mutex
+	began   time.Time
+	token   int64
+	active  map[string]*activeRun
+	highest map[string]int64
+	ended   []endedRun
+	lastEnd int64
+	noted   int64
+	lease   time.Time
+	lapse   *time.Timer
+	changed chan struct{}
+	// registered is set once the registration is written, which doesn't change any more.
+	registered bool
+	server     *http.Server
+	maxEnds    int
 }
 
 func (w *worker) clock() int64 { return time.Since(w.began).Milliseconds() + 1000 }
@@ -70,24 +69,17 @@
 	go func() { _ = w.server.Serve(listener) }()
 }
 
-// beat writes the worker's registration.
+// beat writes the worker's registration, unless it is written already.
 func (w *worker) beat(s *store) {
 	w.mu.Lock()
-	if w.gone {
-		w.mu.Unlock()
+	defer w.mu.Unlock()
+	if w.registered {
 		return
 	}
-	w.seq++
-	state := "ready"
-	if w.draining {
-		state = "draining"
-	}
-	registration := map[string]any{
-		"service": w.pool, "address": w.address, "zone": w.dataCentre, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
-		"capacity": w.capacity, "labels": []string{"a", w.rack}, "clockMs": w.clock(), "sequence": w.seq, "machine": w.instance,
-	}
-	w.mu.Unlock()
-	s.put("servers", w.id, registration)
+	w.registered = s.put("servers", w.id, map[string]any{
+		"service": w.pool, "address": w.address, "zone": w.dataCentre, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"capacity": w.capacity, "labels": []string{"a", w.rack}, "clockMs": w.clock(), "sequence": 1, "machine": w.instance,
+	})
 }
 
 func (w *worker) notify() {
@@ -171,7 +163,7 @@
 func (w *worker) checkLease() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.gone || time.Now().Before(w.lease) || len(w.active) == 0 {
+	if time.Now().Before(w.lease) || len(w.active) == 0 {
 		return
 	}
 	w.log.add(event{kind: "lapse", worker: w.id})
@@ -217,7 +209,7 @@
 		a.timer = time.AfterFunc(lasts, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if w.gone || w.active[task] != a {
+			if w.active[task] != a {
 				return
 			}
 			w.finish(task, how)
@@ -256,7 +248,7 @@
 		time.AfterFunc(min(w.stopTime, 50*time.Millisecond), func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if w.gone || w.active[task] != stopped {
+			if w.active[task] != stopped {
 				return
 			}
 			w.finish(task, "stopped")
@@ -314,20 +306,6 @@
 	respond(rw, http.StatusOK, answer)
 }
 
-// end ends the worker at once, with all that runs on it.
-func (w *worker) end() {
-	w.mu.Lock()
-	w.gone = true
-	for _, a := range w.active {
-		if a.timer != nil {
-			a.timer.Stop()
-		}
-	}
-	w.log.add(event{kind: "gone", worker: w.id})
-	w.mu.Unlock()
-	_ = w.server.Close()
-}
-
 func jobOf(task string) string {
 	id, _, _ := strings.Cut(task, ".")
 	return id
