--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
+# Plays the case; TROUBLE=0 plays it without the disruption.
 here="$(cd "$(dirname "$0")" && pwd)"
 exec "$here/../case.sh" crash-loop "$here"
