--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -20,9 +20,11 @@
 
 // site is a small deployment: entries as processes of their own, and stand-ins for the rest.
 type site struct {
-	record                        *recorder
-	store                         *store
-	folder                        string
+	record *recorder
+	store  *store
+	folder string
+	// root is the folder of the repository, in which the entries run.
+	root                          string
 	program                       string
 	entries                       []*entryProcess
 	workers                       []*worker
@@ -55,7 +57,7 @@
 		cannotRun("%v", err)
 	}
 	s := &site{
-		record: newRecorder(recordPath), store: newStore(), folder: folder, program: filepath.Join(root, "target", "samphirekeel"),
+		record: newRecorder(recordPath), store: newStore(), folder: folder, root: root, program: filepath.Join(root, "target", "samphirekeel"),
 		stop: make(chan struct{}), loopback: rand.Intn(1 << 24),
 	}
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -218,6 +220,7 @@
 	if s.maxFiles > 0 {
 		command = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.maxFiles), s.program, "--metrics-port", "7071")
 	}
+	command.Dir = s.root
 	command.Env = append(os.Environ(), "SAMPHIREKEEL_SETTINGS="+e.settings)
 	command.Stdout, command.Stderr = log, log
 	err = command.Start()
