A full list of ends isn't taken for all ends of a worker

Cause: a worker lists 500 ends at a time. removeUnlisted took the list for complete, so that a run that had ended and whose end was beyond the list counted as lost; a new leader did the same with the first list it got.

Change: a response says whether the worker may have more ends. Until all are listed, an unlisted run keeps its task (no capacity), the worker counts as unheard after a takeover, stays in the roster and isn't moved.

--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -47,11 +47,13 @@
 	// Relayed plays the day a second time, with the leader's orders to workers sent through relays.
 	Relayed bool `json:"relayed"`
 	// Pools is the number of instances of each pool in each data centre; the pool named spare is the spare pool.
-	Pools   map[string]int `json:"pools"`
-	Seeds   []uint64       `json:"seeds"`
-	Traffic []traffic      `json:"traffic"`
-	Faults  []dayFault     `json:"faults"`
-	Length  duration       `json:"length"`
+	Pools map[string]int `json:"pools"`
+	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
+	ListedEnds int        `json:"listed_ends"`
+	Seeds      []uint64   `json:"seeds"`
+	Traffic    []traffic  `json:"traffic"`
+	Faults     []dayFault `json:"faults"`
+	Length     duration   `json:"length"`
 	// MinAccepted is the minimum fraction of the submitted jobs that must be accepted, and MinEnded the minimum
 	// fraction of those that must have ended when the scenario does.
 	MinAccepted float64 `json:"accepted"`
@@ -181,6 +183,9 @@
 // build adds the pools, the queues and the entries.
 func (p *dayRun) build() {
 	capacity := work.Size{MilliCores: 16000, MemoryMB: 32768}
+	if p.day.ListedEnds > 0 {
+		p.fleet.MaxListedEnds = p.day.ListedEnds
+	}
 	poolNames := make([]string, 0, len(p.day.Pools))
 	for name := range p.day.Pools {
 		poolNames = append(poolNames, name)
--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -46,6 +46,8 @@
 // Fleet is the emulated instances with their workers.
 type Fleet struct {
 	Times Times
+	// MaxListedEnds is the number of ends that a worker lists at a time.
+	MaxListedEnds int
 	// SparePool is the name of the pool whose instances run no worker.
 	SparePool string
 	// OrderRate is the maximum number of orders to instances per second; 0 means no limit.
@@ -81,10 +83,13 @@
 	Renewals, Starts, InstanceOrders int
 }
 
+// defaultListedEnds is the initial value of Fleet.MaxListedEnds.
+const defaultListedEnds = 500
+
 // NewFleet returns a fleet without instances, whose faults and clocks are drawn from random.
 func NewFleet(store *Store, checker *Checker, random *rand.Rand, times Times) *Fleet {
 	f := &Fleet{
-		Times: times, Checker: checker, random: random, store: store, instances: make(map[string]*instance),
+		Times: times, MaxListedEnds: defaultListedEnds, Checker: checker, random: random, store: store, instances: make(map[string]*instance),
 		workers: make(map[string]*Worker), partitioned: make(map[string]map[string]bool), downByTasks: make(map[string]int),
 	}
 	checker.fleet = f
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -315,9 +315,10 @@
 		f.Checker.recordAcknowledgement(w, o.Acknowledged)
 		w.ends = slices.DeleteFunc(w.ends, func(e worker.End) bool { return e.Number <= o.Acknowledged })
 	}
-	f.Checker.recordListed(w.ends)
+	listed := w.ends[:min(len(w.ends), f.MaxListedEnds)]
+	f.Checker.recordListed(listed)
 	w.scheduleLocked()
-	status := worker.Status{Reply: worker.Reply{Clock: w.clock()}, Ended: slices.Clone(w.ends)}
+	status := worker.Status{Reply: worker.Reply{Clock: w.clock()}, Ended: slices.Clone(listed), MoreEnds: len(listed) == f.MaxListedEnds}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.Run{Task: r.task, Run: r.number, Checkpoint: r.checkpoint(), Percent: r.percent(), Load: -1})
 	}
--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -56,6 +56,7 @@
 	CrashesExhausted
 	WorkerReserved
 	TrialLost
+	EndsTruncated
 )
 
 var scheduleEvents = []Definition{
@@ -109,6 +110,7 @@
 	{TaskCleared, "task_cleared", logrus.InfoLevel, "a run of a task has lasted longer than those that ended in crashes, which are forgotten", []string{"task", "run", "worker", "survived_ms", "crashes"}},
 	{CrashesExhausted, "crashes_exhausted", logrus.WarnLevel, "a job fails because a task has crashed its workers, with the crashes as in task_suspected; or (held) only that task isn't started again, since an order to stop the others would exceed their disruption budget", []string{"job", "task", "crashes", "crashes_sole", "unconfirmed", "queue", "held"}},
 	{TrialLost, "trial_lost", logrus.WarnLevel, "a run of a suspected task that an earlier leader may have started is listed by no worker and counts as a crash that keeps the task apart", []string{"task", "run", "crashes"}},
+	{EndsTruncated, "ends_truncated", logrus.WarnLevel, "a worker has more ends than it lists at a time: a run that it lists neither as active nor as ended keeps its task from being started again, until the worker has listed all ends; with the number of ends that aren't stored and of the runs that may be over", []string{"worker", "listed", "not_stored", "runs"}},
 	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/relay/compact.go
+++ b/keel/relay/compact.go
@@ -50,6 +50,7 @@
 	resultRunning
 	resultPartial
 	resultEnded
+	resultMoreEnds
 )
 
 // The fields of Failure.
@@ -211,6 +212,7 @@
 	out = appendInt(out, resultClockMicros, r.ClockMicros)
 	out = appendText(out, resultRefusal, r.Refusal)
 	out = appendBool(out, resultPartial, r.Partial)
+	out = appendBool(out, resultMoreEnds, r.MoreEnds)
 	var scratch []byte
 	for i := range r.Running {
 		scratch = r.Running[i].appendTo(scratch[:0])
@@ -266,6 +268,8 @@
 			r.Refusal = string(f.bytes)
 		case resultPartial:
 			r.Partial = f.value != 0
+		case resultMoreEnds:
+			r.MoreEnds = f.value != 0
 		case resultRunning:
 			r.Running = append(r.Running, Run{})
 			return r.Running[len(r.Running)-1].decode(f.bytes)
--- a/keel/relay/relay_test.go
+++ b/keel/relay/relay_test.go
@@ -86,7 +86,7 @@
 		Start: func(context.Context, worker.Target, worker.StartOrder) (worker.Reply, error) { return record(), nil },
 		Renew: func(context.Context, worker.Target, worker.RenewOrder) (worker.Status, error) {
 			end := worker.End{Number: 3, Task: work.TaskID{Job: "00000000000000a1", Step: 1, Index: 2}, Run: 4, Kind: worker.Done}
-			return worker.Status{Reply: record(), Partial: true, Ended: []worker.End{end}}, nil
+			return worker.Status{Reply: record(), Partial: true, Ended: []worker.End{end}, MoreEnds: true}, nil
 		},
 	}
 }
@@ -147,7 +147,7 @@
 	}
 	status, err := workers.Renew(ctx, to, worker.RenewOrder{Token: 1, EndsSuffice: true})
 	if err == nil {
-		assert.Assert(b.t, status.Partial)
+		assert.Assert(b.t, status.Partial && status.MoreEnds)
 		assert.Equal(b.t, status.Ended[0].Task.String(), "00000000000000a1.0.1.2")
 	}
 	return err
@@ -169,7 +169,7 @@
 		})
 	} else {
 		submitted = workers.SubmitRenew(to, worker.RenewOrder{Token: 1, EndsSuffice: true}, 220*time.Millisecond, func(status worker.Status, err error) {
-			assert.Check(b.t, err != nil || status.Partial && status.Ended[0].Task.String() == "00000000000000a1.0.1.2")
+			assert.Check(b.t, err != nil || status.Partial && status.MoreEnds && status.Ended[0].Task.String() == "00000000000000a1.0.1.2")
 			ended <- err
 		})
 	}
--- a/keel/schedule/attempts.go
+++ b/keel/schedule/attempts.go
@@ -42,7 +42,7 @@
 // mayEnd reports whether the job may be ended by the scheduler: no task with a disruption budget is at work, which an order to stop
 // it would make unavailable beside the one that has crashed its workers. A worker that this leader hasn't heard yet may run one.
 func (s *Scheduler) mayEnd(j *job) bool {
-	for _, w := range s.unfenced {
+	for _, w := range s.unheard {
 		if j.inherited && j.LongRunning() && j.mayHaveRunIn(w.DataCentre) {
 			return false
 		}
--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -41,7 +41,7 @@
 	byHome  map[string]*btree.BTreeG[rank]
 	// held holds, by data centre, the jobs of which no task may start before a worker there is fenced, in scheduling order.
 	held map[string]*btree.BTreeG[rank]
-	// holderOf returns the unfenced worker that holds a job, or nil; isHolding reports whether one of the data centre holds
+	// holderOf returns the unheard worker that holds a job, or nil; isHolding reports whether one of the data centre holds
 	// jobs.
 	holderOf  func(*job) *workerState
 	isHolding func(dataCentre string) bool
--- a/keel/schedule/backlog_check_test.go
+++ b/keel/schedule/backlog_check_test.go
@@ -154,7 +154,7 @@
 
 // mayStillRun reports whether a worker that hasn't accepted the epoch may be running a task of the job.
 func (b *testbed) mayStillRun(j *job) bool {
-	for _, w := range b.s.unfenced {
+	for _, w := range b.s.unheard {
 		if j.inherited && j.mayHaveRunIn(w.DataCentre) {
 			return true
 		}
--- a/keel/schedule/backlog_test.go
+++ b/keel/schedule/backlog_test.go
@@ -82,7 +82,7 @@
 		for _, j := range f.s.jobs {
 			j.inherited = true
 		}
-		f.s.unfenced["old"] = &workerState{}
+		f.s.unheard["old"] = &workerState{}
 		return measurePass(func() {}, func() { f.pass() })
 	}
 	few, many := cost(2000), cost(50000)
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -25,12 +25,17 @@
 	commonCauseWorkers = 3
 )
 
-// survived returns for how long the run is known to have lasted: until the worker's last response.
+// survived returns for how long the run is known to have lasted: until the worker's last response
+// that may have come during the run.
 func (r *run) survived() time.Duration {
 	if r.confirmedAt == 0 {
 		return 0
 	}
-	return max(0, r.worker.aliveAt-r.confirmedAt)
+	last := r.worker.aliveAt
+	if r.awaitingEndSince != 0 {
+		last = r.listedAt
+	}
+	return max(0, last-r.confirmedAt)
 }
 
 const (
@@ -131,7 +136,7 @@
 // recordCrash records a crash under each run of the worker and returns the jobs of these runs. If it isn't known whether the worker
 // has crashed, only the runs count that would be its likeliest cause.
 func (s *Scheduler) recordCrash(w *workerState, reason string, unconfirmed bool) []*job {
-	runs := sortedRuns(w.runs)
+	runs := slices.DeleteFunc(sortedRuns(w.runs), func(r *run) bool { return r.awaitingEndSince != 0 })
 	limit := suspectLimit(runs)
 	suspects := 0
 	var jobs []*job
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -149,6 +149,9 @@
 		return false
 	}
 	r := t.runs[0]
+	if r.awaitingEndSince != 0 {
+		return false
+	}
 	if r.worker.unresponsiveSince != 0 {
 		return r.survived() >= startCrashTime || !r.worker.mayHaveCrashed()
 	}
--- a/keel/schedule/held.go
+++ b/keel/schedule/held.go
@@ -2,15 +2,15 @@
 
 import "github.com/google/btree"
 
-// holders holds, by data centre, the unfenced worker whose lease expires last. It may be running tasks of the inherited jobs
+// holders holds, by data centre, the unheard worker (Scheduler.unheard) whose lease expires last. It may be running tasks of the inherited jobs
 // that may have run there.
 type holders map[string]*workerState
 
-// updateHolders sets the holders to those of the present unfenced workers. Released jobs return to the order of waiting jobs
+// updateHolders sets the holders to those of the present unheard workers. Released jobs return to the order of waiting jobs
 // with the next update of their pool's backlog.
 func (s *Scheduler) updateHolders() {
 	s.holders = make(holders)
-	for _, w := range s.unfenced {
+	for _, w := range s.unheard {
 		last := s.holders[w.DataCentre]
 		if last == nil || w.leaseExpiry > last.leaseExpiry {
 			s.holders[w.DataCentre] = w
@@ -18,7 +18,7 @@
 	}
 }
 
-// holderOf returns an unfenced worker that may be running tasks of the job, the one whose lease expires last, or nil if there
+// holderOf returns an unheard worker that may be running tasks of the job, the one whose lease expires last, or nil if there
 // is none.
 func (s *Scheduler) holderOf(j *job) *workerState {
 	if !j.inherited {
@@ -33,7 +33,7 @@
 	return last
 }
 
-// isHolding reports whether some worker of the data centre is unfenced.
+// isHolding reports whether some worker of the data centre is unheard.
 func (s *Scheduler) isHolding(dataCentre string) bool { return s.holders[dataCentre] != nil }
 
 // maySpeculateNow reports whether some task of a ready step may run twice, so that it need not wait for workers that might
@@ -62,7 +62,7 @@
 	b.held[dataCentre].ReplaceOrInsert(place)
 }
 
-// removeHeld removes the job from those that an unfenced worker holds.
+// removeHeld removes the job from those that an unheard worker holds.
 func (b *backlog) removeHeld(j *job) {
 	e := &j.entry
 	if e.held.job == nil {
@@ -75,7 +75,7 @@
 	}
 }
 
-// releaseHeld marks the jobs as changed that were held in a data centre without an unfenced worker.
+// releaseHeld marks the jobs as changed that were held in a data centre without an unheard worker.
 func (b *backlog) releaseHeld() {
 	for dataCentre, order := range b.held {
 		if b.isHolding(dataCentre) {
--- a/keel/schedule/held_test.go
+++ b/keel/schedule/held_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// heldJobs returns the number of jobs that unfenced workers hold.
+// heldJobs returns the number of jobs that unheard workers hold.
 func (b *testbed) heldJobs() int {
 	n := 0
 	b.onLoop(func() {
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -146,7 +146,7 @@
 	return pl
 }
 
-// placeJob starts the job's waiting tasks as far as there is room, and reports whether an unfenced worker holds all of them.
+// placeJob starts the job's waiting tasks as far as there is room, and reports whether an unheard worker holds all of them.
 func (pl *planner) placeJob(j *job) (held bool) {
 	fenced := pl.s.holderOf(j) == nil
 	held = !fenced
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -175,7 +175,6 @@
 	}
 	if !w.fenced {
 		w.fenced = true
-		delete(s.unfenced, w.ID)
 		s.stopLateStarts(w)
 	}
 	s.clearLeaseEnd(w)
@@ -194,8 +193,9 @@
 			s.applyEnd(w, end)
 		}
 	}
+	s.recordMoreEnds(w, status)
 	if !status.Partial {
-		s.removeUnlisted(w, sent, status.Running)
+		s.removeUnlisted(w, sent, status)
 	}
 	if w.isolated > 0 {
 		for _, r := range w.runs {
@@ -206,8 +206,21 @@
 	s.schedulePlan()
 }
 
-// removeUnlisted removes the runs that were confirmed before sent and that the worker's latest list doesn't contain.
-func (s *Scheduler) removeUnlisted(w *workerState, sent time.Duration, listed []worker.Run) {
+// recordMoreEnds records whether the worker may have ends that it hasn't listed.
+func (s *Scheduler) recordMoreEnds(w *workerState, status worker.Status) {
+	if status.MoreEnds && !w.moreEnds {
+		s.Log.Write(event.EndsTruncated, event.Fields{"worker": w.ID, "listed": len(status.Ended), "not_stored": len(w.ends), "runs": len(w.runs)})
+	}
+	w.moreEnds = status.MoreEnds
+	if !w.moreEnds {
+		delete(s.unheard, w.ID)
+	}
+}
+
+// removeUnlisted removes the runs that were confirmed before sent and that the worker's latest list doesn't contain. While
+// the worker may have ends that it hasn't listed, theirs may be among them: they keep their tasks from being started again,
+// but no capacity.
+func (s *Scheduler) removeUnlisted(w *workerState, sent time.Duration, status worker.Status) {
 	w.listedAt = s.Now()
 	var unlisted map[work.TaskID]*run
 	for id, r := range w.runs {
@@ -219,11 +232,15 @@
 		}
 	}
 	for _, r := range sortedRuns(unlisted) {
+		if status.MoreEnds {
+			r.awaitEnd(w.listedAt)
+			continue
+		}
 		s.Log.Write(event.TaskLost, event.Fields{"task": r.task.id().String(), "run": r.number, "worker": w.ID, "reason": "the worker lists neither the run nor its end"})
 		s.removeRun(r, "the worker lists neither the run nor its end")
 	}
 	for id, number := range w.orphans {
-		if !slices.ContainsFunc(listed, func(live worker.Run) bool { return live.Task == id && live.Run == number }) {
+		if !slices.ContainsFunc(status.Running, func(live worker.Run) bool { return live.Task == id && live.Run == number }) {
 			delete(w.orphans, id)
 		}
 	}
@@ -278,7 +295,8 @@
 		s.removeRun(r, "worker lease expired")
 	}
 	clear(w.orphans)
-	delete(s.unfenced, w.ID)
+	delete(s.unheard, w.ID)
+	w.moreEnds = false
 	w.leaseExpiry = 0
 	if w.unresponsiveSince == 0 {
 		s.stopLateStarts(w)
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -57,6 +57,8 @@
 	speedPercent int
 	// isolation is how far the run is kept apart from others until it has lasted long enough.
 	isolation suspicion
+	// awaitingEndSince is when the worker first listed neither the run, which is over, nor its end, 0 before that.
+	awaitingEndSince time.Duration
 	// voluntary is set if the scheduler stopped the run although it was healthy.
 	voluntary bool
 }
@@ -116,6 +118,16 @@
 	}
 }
 
+// awaitEnd records that the run is over, although its worker hasn't listed its end yet, and releases its capacity.
+func (r *run) awaitEnd(now time.Duration) {
+	if r.awaitingEndSince != 0 {
+		return
+	}
+	r.awaitingEndSince = now
+	r.worker.used = r.worker.used.Minus(r.size)
+	r.size = work.Size{}
+}
+
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
 func (s *Scheduler) removeRun(r *run, _ string) {
 	w, t := r.worker, r.task
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -107,7 +107,7 @@
 	}
 	w := s.workerOf[i.ID]
 	_, incoming := s.fleet.incoming[i.ID]
-	return !incoming && (w == nil || len(w.ends) == 0)
+	return !incoming && (w == nil || !w.hasEnds())
 }
 
 // scaleDown moves instances that have been idle for scaleDownIdleTime to a spare pool.
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -96,9 +96,10 @@
 	durations     durationModels
 	waves         waveState
 	outages       outageTracker
-	// unfenced holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch.
-	unfenced map[string]*workerState
-	// holders is derived from unfenced at the start of each pass and of each report of waits.
+	// unheard holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch, or have not yet
+	// listed all ends.
+	unheard map[string]*workerState
+	// holders is derived from unheard at the start of each pass and of each report of waits.
 	holders holders
 
 	planPending bool
@@ -157,7 +158,7 @@
 	s.givenUp = make(map[*job]bool)
 	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
-	s.unfenced = make(map[string]*workerState)
+	s.unheard = make(map[string]*workerState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
 	s.starts, s.stops = newOrderWindow(initialStartLimit, minStartLimit), newOrderWindow(initialStopLimit, minStopLimit)
 	s.fleet.init()
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -112,7 +112,7 @@
 	s.applyRegistrations(contents.registrations.Rows, true)
 	s.followStore(contents.registrations.Version)
 	s.Log.Write(event.LeaderReady, event.Fields{
-		"epoch": s.Epoch, "jobs": len(s.jobs), "workers": len(s.workers), "unheard": len(s.unfenced),
+		"epoch": s.Epoch, "jobs": len(s.jobs), "workers": len(s.workers), "unheard": len(s.unheard),
 		"config": s.Config.VersionOrZero(), "unrouted": len(s.unrouted),
 		"took_ms": (s.Now() - s.began).Milliseconds(),
 	})
@@ -126,7 +126,7 @@
 		w := s.ensureWorker(worker.Registration{ID: id, Address: record.Address, Instance: record.Instance, DataCentre: record.DataCentre})
 		w.rostered, w.rosterRows = true, contents.ledger.RosterRows[id]
 		w.leaseExpiry = s.inheritedLeaseEnd(record, contents.registrations.Now)
-		s.unfenced[id] = w
+		s.unheard[id] = w
 		if s.workerOf[w.Instance] == nil {
 			s.workerOf[w.Instance] = w
 		}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -31,6 +31,7 @@
 	waitUnresponsive waitCause = "unresponsive_worker"
 	waitInDoubt      waitCause = "start_in_doubt"
 	waitStopping     waitCause = "stop_pending"
+	waitEnd          waitCause = "end_not_listed"
 	waitBackoff      waitCause = "backoff"
 	waitWorker       waitCause = "no_usable_worker"
 	waitCapacity     waitCause = "no_capacity"
@@ -253,6 +254,8 @@
 		switch {
 		case w.unresponsiveSince != 0:
 			held = wait{cause: waitUnresponsive, since: w.unresponsiveSince, worker: w.ID, until: w.leaseExpiry}
+		case r.awaitingEndSince != 0:
+			held = wait{cause: waitEnd, since: r.awaitingEndSince, worker: w.ID}
 		case r.inDoubt:
 			held = wait{cause: waitInDoubt, since: r.ordered, worker: w.ID}
 		case r.stopping:
--- a/keel/schedule/wait_bench_test.go
+++ b/keel/schedule/wait_bench_test.go
@@ -16,7 +16,7 @@
 	s := &Scheduler{
 		Config: queue.NewConfig(1, nil, []queue.Pool{{Name: "p"}}, queue.Limits{}), LeaseValid: func() bool { return true },
 		Now: func() time.Duration { return time.Hour }, jobs: make(map[string]*job), pools: make(map[string]*pool),
-		workers: make(map[string]*workerState), unfenced: make(map[string]*workerState),
+		workers: make(map[string]*workerState), unheard: make(map[string]*workerState),
 	}
 	p := s.pool("p")
 	for n := range 1100 {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -108,6 +108,8 @@
 	acked   int64
 	ends    []pendingEnd
 	lastEnd int64
+	// moreEnds is set while the worker may have ends after lastEnd that it lists once the earlier ones are acknowledged.
+	moreEnds bool
 	// orderPending is set while an order that ends the worker may be in flight to its instance.
 	orderPending bool
 	idleSince    time.Duration
@@ -154,7 +156,10 @@
 
 // inUse reports whether the worker may have runs or has ends that aren't stored. It must stay in the roster until then, so
 // that the next leader waits for it.
-func (w *workerState) inUse() bool { return len(w.runs)+len(w.orphans)+len(w.ends) > 0 }
+func (w *workerState) inUse() bool { return len(w.runs)+len(w.orphans) > 0 || w.hasEnds() }
+
+// hasEnds reports whether the worker has ends that aren't stored, or may have some that it hasn't listed.
+func (w *workerState) hasEnds() bool { return len(w.ends) > 0 || w.moreEnds }
 
 // hasConfirmedRun reports whether the worker has responded to the start order of one of its runs or has listed one.
 func (w *workerState) hasConfirmedRun() bool {
@@ -326,7 +331,7 @@
 	if s.workerOf[w.Instance] == w {
 		delete(s.workerOf, w.Instance)
 	}
-	delete(s.unfenced, w.ID)
+	delete(s.unheard, w.ID)
 	s.ledger.removeRows(w.rosterRows)
 	s.Workers.Forget(w.Address)
 	delete(s.workers, w.ID)
--- a/keel/worker/order.go
+++ b/keel/worker/order.go
@@ -137,7 +137,10 @@
 	Running []Run
 	// Partial reports that Running is left out, as RenewOrder.EndsSuffice permits.
 	Partial bool
-	Ended   []End
+	// Ended lists the oldest ends that haven't been acknowledged. MoreEnds reports that there may be others, which the worker
+	// lists once these are acknowledged.
+	Ended    []End
+	MoreEnds bool
 }
 
 // Client sends orders to workers; calls fail with kind EndpointFailed, and with outcome Unknown if the order may have
