Failed runs of long-running tasks aren't listed in the job's row

Cause: each failed run of a long-running task was added to its job's record, although these failures decide nothing. After half a minute the row exceeded what the store accepts, was rejected again and again, and held back the later ends of all workers that run the service, since a worker's ends are acknowledged in their order.

Change: such an end is counted (back-off, failures of the worker) and acknowledged without a write. Rows of earlier versions are cut when they are read. The emulated store rejects rows and transactions over its limits, and long-running tasks of a poisoned job fail.

--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -38,7 +38,7 @@
 	job *work.Job
 	// durations holds the actual duration of each task, by step and index.
 	durations [][]time.Duration
-	// poisoned reports that the job's tasks fail on every worker.
+	// poisoned reports that the job's tasks fail on every worker; long-running ones do when they should be ready.
 	poisoned bool
 	// deadly holds the tasks that crash each worker that starts them, with the time from a start to the crash.
 	deadly      map[work.TaskID]time.Duration
--- a/keel/emulator/progress.go
+++ b/keel/emulator/progress.go
@@ -36,7 +36,7 @@
 
 // noteServing records once that a long-running task is ready.
 func (w *Worker) noteServing(r *run) {
-	if !r.step.LongRunning || r.serving || r.done < r.total {
+	if !r.step.LongRunning || r.serving || r.fails || r.done < r.total {
 		return
 	}
 	r.serving = true
@@ -61,7 +61,7 @@
 			w.finish(r, worker.Stopped)
 		case lapsed:
 			w.finish(r, worker.LeaseExpired)
-		case w.behaviour.Fails && now.Sub(r.started) >= failTime, r.fails && r.done >= r.total && !r.step.LongRunning:
+		case w.behaviour.Fails && now.Sub(r.started) >= failTime, r.fails && r.done >= r.total:
 			w.finish(r, worker.Failed)
 		case r.gangIncomplete && now.Sub(r.started) >= w.fleet.Times.GangTimeout:
 			w.finish(r, worker.GangIncomplete)
--- a/keel/emulator/store.go
+++ b/keel/emulator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -39,6 +40,10 @@
 	maxPageRows = 500
 	// maxTxnEntries is the maximum number of conditions, writes and removals in a transaction.
 	maxTxnEntries = 100
+	// maxTxnBytes is the maximum size of the values in a transaction, in base64.
+	maxTxnBytes = 1 << 20
+	// defaultRowBytes is the initial value of Store.RowBytes.
+	defaultRowBytes = 65536
 	// affectedShare is the share of the writes that an outage of kind Lost or Late affects.
 	affectedShare = 0.35
 	// minLateDelay and maxLateDelay are the limits of the delay of a late write.
@@ -61,6 +66,9 @@
 
 // Store is the emulated transactional store; its methods are safe for concurrent use.
 type Store struct {
+	// RowBytes is the maximum size of a row's value; it is set before the store is used.
+	RowBytes int
+
 	mu     sync.Mutex
 	random *rand.Rand
 	rows   map[table.Key]table.Row
@@ -81,7 +89,7 @@
 // NewStore returns an empty store whose faults are drawn from random.
 func NewStore(random *rand.Rand) *Store {
 	return &Store{
-		random: random, rows: make(map[table.Key]table.Row), createdAt: time.Now(), idleFrom: make(map[string]time.Time),
+		RowBytes: defaultRowBytes, random: random, rows: make(map[table.Key]table.Row), createdAt: time.Now(), idleFrom: make(map[string]time.Time),
 		activeFaults: make(map[*StoreFault]bool), changed: make(chan struct{}),
 	}
 }
@@ -183,8 +191,9 @@
 	if err != nil {
 		return table.Result{}, err
 	}
-	if txn.Size() > maxTxnEntries {
-		return table.Result{}, fault.New(fault.Internal, "transaction too large: %d entries", txn.Size()).WithOutcome(fault.NotRun)
+	err = s.checkSize(txn)
+	if err != nil {
+		return table.Result{}, err
 	}
 	if !sleep(ctx, s.queueDelay(partition, slow)) {
 		// The request was already sent, so the store applies it although the caller has given up.
@@ -199,6 +208,21 @@
 	return s.apply(txn)
 }
 
+// checkSize fails with kind Internal if the transaction or one of its rows exceeds a limit.
+func (s *Store) checkSize(txn table.Txn) error {
+	size := 0
+	for _, w := range txn.Writes {
+		if len(w.Value) > s.RowBytes {
+			return fault.New(fault.Internal, "row %s of table %s too large: %d bytes", w.Name, w.Table, len(w.Value)).WithOutcome(fault.NotRun)
+		}
+		size += base64.StdEncoding.EncodedLen(len(w.Value))
+	}
+	if txn.Size() > maxTxnEntries || size > maxTxnBytes {
+		return fault.New(fault.Internal, "transaction too large: %d entries, %d bytes", txn.Size(), size).WithOutcome(fault.NotRun)
+	}
+	return nil
+}
+
 // partitionOf returns the partition of a transaction's rows.
 func partitionOf(txn table.Txn) string {
 	switch {
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -253,7 +253,8 @@
 	}
 	for _, failed := range p.Failures {
 		t := s.task(j, work.TaskID{Job: j.ID, Occurrence: failed.Occurrence, Step: failed.Step, Index: failed.Index})
-		if t != nil {
+		// Rows of earlier versions list failures of long-running tasks.
+		if t != nil && !t.step.spec.LongRunning {
 			s.recordFailure(t, failed)
 		}
 	}
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -43,6 +43,10 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
+	if t.step.spec.LongRunning {
+		s.endLongRunning(w, t, end, r)
+		return nil, 0
+	}
 	switch end.Kind {
 	case worker.Done:
 		s.recordSuccess(w, r)
@@ -61,14 +65,22 @@
 	return nil, 0
 }
 
+// endLongRunning applies the end of a run of a long-running task, which is restarted however it ends. Its failures are only
+// counted: they decide nothing, and a service may fail without end, so that a record of each would outgrow the job's row.
+func (s *Scheduler) endLongRunning(w *workerState, t *task, end worker.End, r *run) {
+	switch end.Kind {
+	case worker.Done:
+		s.recordSuccess(w, r)
+	case worker.Failed:
+		s.countFailure(t, w.Instance)
+		s.Log.WriteFunc(event.TaskFailed, func() event.Fields { return s.failureFields(t, w, end.Run) })
+		s.recordWorkerFailure(w, t)
+	}
+}
+
 // completeTask marks a task as done, and the whole gang for a member of a gang.
 func (s *Scheduler) completeTask(t *task) {
 	j := t.job()
-	if t.step.spec.LongRunning {
-		// A long-running task that ends by itself is restarted.
-		s.markDirty(j)
-		return
-	}
 	if t.step.spec.Gang {
 		// The first member to end completes the gang; the other members end by themselves.
 		for _, m := range t.step.tasks {
@@ -96,12 +108,17 @@
 		}
 	}
 	j.failures = append(j.failures, failed)
-	t.failures++
 	t.nextRun = max(t.nextRun, failed.Run+1)
+	s.countFailure(t, failed.Instance)
+	return true
+}
+
+// countFailure counts a failed run of the task on the instance and delays the next one.
+func (s *Scheduler) countFailure(t *task, instance string) {
+	t.failures++
 	if t.failedOn == nil {
 		t.failedOn = make(map[string]int)
 	}
-	t.failedOn[failed.Instance]++
+	t.failedOn[instance]++
 	t.notBefore = s.Now() + failureBackoff*time.Duration(min(t.failures, maxFailureBackoffs))
-	return true
 }
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -286,6 +286,11 @@
 
 // submit stores a job and announces it to the scheduler.
 func (b *testbed) submit(job *work.Job, taskDuration time.Duration) {
+	b.submitWith(job, taskDuration, false)
+}
+
+// submitWith stores a job, whose tasks all fail if poisoned is set, and announces it to the scheduler.
+func (b *testbed) submitWith(job *work.Job, taskDuration time.Duration, poisoned bool) {
 	var durations [][]time.Duration
 	for _, step := range job.Steps {
 		var times []time.Duration
@@ -295,7 +300,7 @@
 		durations = append(durations, times)
 	}
 	job.Accepted = time.Now().UnixMilli()
-	b.checker.Submitted(job, durations, false)
+	b.checker.Submitted(job, durations, poisoned)
 	submissions := &ledger.SubmissionWriter{Store: b.store.Client("entry")}
 	stored, err := submissions.Submit(context.Background(), job)
 	assert.NilError(b.t, err)
