A job's row keeps to the size that the store accepts

Cause: the record had no bound; the setting rowBytes was read and not used.

Change: a record over the limit is stored in a smaller form, with a bit for each completed task and a count of failed runs for each task; if that is too large, it leaves out what weighs least and says so (record_shortened). A row that the store rejects alone is stored again at once with half the limit.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -217,7 +217,7 @@
 	s.operatorRows = make(map[string]table.Row)
 	s.loop = control.New(maxConcurrentCalls)
 	s.jobs = &ledger.JobStore{Store: s.Store}
-	s.submissions = &ledger.SubmissionWriter{Store: s.Store}
+	s.submissions = &ledger.SubmissionWriter{Store: s.Store, RowBytes: s.Settings.Store.RowBytes}
 	s.node = &peer.Node{Log: s.Log, Dial: s.Dial, Timeout: peerTimeout, Methods: s.methods()}
 	s.lease = &leader.Lease{
 		Store: s.Store, Loop: s.loop, Log: s.Log, Name: s.Settings.Name, Address: s.peerAddress(), Rank: s.rank(),
@@ -258,7 +258,7 @@
 	now := s.Now()
 	s.scheduler = &schedule.Scheduler{
 		Loop: s.loop, Log: s.Log, Store: s.Store, Workers: s.relayClient.Workers(), Provider: s.Provider, Policy: s.Policy,
-		Bounds: s.Settings.Bounds, Limits: s.Settings.InstanceService, Metrics: s.metrics, Holder: s.Settings.Name, Epoch: epoch,
+		Bounds: s.Settings.Bounds, Limits: s.Settings.InstanceService, RowBytes: s.Settings.Store.RowBytes, Metrics: s.metrics, Holder: s.Settings.Name, Epoch: epoch,
 		Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
 		InstanceOrdersFrom: make(map[string]time.Duration),
 		Rows:               s.Codec.RowCodec,
--- a/keel/ledger/encode.go
+++ b/keel/ledger/encode.go
@@ -11,7 +11,7 @@
 // EncodeProgress returns the same encoding as Encode for the record of a job that hasn't ended. The leader writes about
 // one such row for each task.
 func EncodeProgress(p *work.Progress) []byte {
-	if len(p.Failures)+len(p.Crashes)+len(p.Checkpoints) > 0 || len(p.Done) > 1 {
+	if len(p.Failures)+len(p.FailureCounts)+len(p.DoneTasks)+len(p.Crashes)+len(p.Checkpoints) > 0 || len(p.Done) > 1 {
 		return Encode(JobRecord{Progress: p})
 	}
 	const prefix, started, done = `{"progress":{`, `"started":true,`, `"done":{`
--- a/keel/ledger/encode_test.go
+++ b/keel/ledger/encode_test.go
@@ -29,6 +29,8 @@
 		{Started: true, Done: map[int][]work.BitSet{2: {full}, 10: {full}}},
 		{Done: map[int][]work.BitSet{0: {full}}, Failures: []work.FailedRun{{Step: 1, Run: 3, Instance: "i1"}}},
 		{Started: true, Crashes: []work.CrashedRun{{Step: 1, Index: 2, Run: 3, Worker: "w1", Suspect: true}}},
+		{Started: true, DoneTasks: full},
+		{Started: true, FailureCounts: work.FailureCounts{{Task: 3, Runs: 2, Last: 7}}},
 		{Started: true, Checkpoints: map[string]string{"0.0.1": "c"}},
 	}
 	for _, progress := range tests {
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -37,6 +37,9 @@
 	stored        bool
 	// lastChange is the number of the last change; storedChange is the number of the last change in the ledger.
 	lastChange, storedChange uint64
+	// rejections counts the transactions with nothing but the job's row that the store has rejected as invalid since it stored
+	// the whole record; omittedRuns is the number of failed and crashed runs that the latest row leaves out.
+	rejections, omittedRuns int
 	// dirty is set while a change waits for the ledger, the first since dirtySince.
 	dirty      bool
 	dirtySince time.Duration
@@ -44,6 +47,8 @@
 	// change that must be stored before the first task starts there.
 	remoteDataCentres map[string]uint64
 	failures          []work.FailedRun
+	// failureSet holds the same without the instances.
+	failureSet map[work.FailedRun]bool
 	// crashes lists the runs that ended with a worker that crashed.
 	crashes     []work.CrashedRun
 	checkpoints map[string]string
@@ -103,6 +108,8 @@
 	// nextRun is the number for the task's next run.
 	nextRun  int64
 	failures int
+	// failuresKnownTo is the number of the run up to which all failed runs are recorded, though not under their own numbers.
+	failuresKnownTo int64
 	// crashes counts the crashes under the task, nil if there are none or for a member of a gang.
 	crashes *crashHistory
 	// failedOn counts the task's failures by instance ID.
@@ -251,6 +258,7 @@
 			}
 		}
 	}
+	s.restoreDoneTasks(j, p.DoneTasks)
 	for _, failed := range p.Failures {
 		t := s.task(j, work.TaskID{Job: j.ID, Occurrence: failed.Occurrence, Step: failed.Step, Index: failed.Index})
 		// Rows of earlier versions list failures of long-running tasks.
@@ -258,6 +266,7 @@
 			s.recordFailure(t, failed)
 		}
 	}
+	s.restoreFailureCounts(j, p.FailureCounts)
 	s.restoreCrashes(j, p.Crashes)
 	for name, checkpoint := range p.Checkpoints {
 		id, ok := work.ParseTaskID(j.ID + "." + name)
@@ -270,6 +279,36 @@
 	s.checkAttempts(j)
 }
 
+func (s *Scheduler) restoreDoneTasks(j *job, done work.BitSet) {
+	if len(done) == 0 {
+		return
+	}
+	for n, id := range j.AllTasks() {
+		if done.Has(n) {
+			s.markTaskDone(s.task(j, id))
+		}
+	}
+}
+
+// restoreFailureCounts records the failed runs whose numbers aren't stored, but for the last of each task. An end with a number
+// up to that one may be listed again and is known.
+func (s *Scheduler) restoreFailureCounts(j *job, counts work.FailureCounts) {
+	if len(counts) == 0 {
+		return
+	}
+	for n, id := range j.AllTasks() {
+		if len(counts) == 0 || counts[0].Task != n {
+			continue
+		}
+		t, count := s.task(j, id), counts[0]
+		counts = counts[1:]
+		for run := count.Last; t.failures < count.Runs; run-- {
+			s.recordFailure(t, work.FailedRun{Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: run})
+		}
+		t.failuresKnownTo = count.Last
+	}
+}
+
 // task returns the task with the ID, or nil if the job has no such task. It creates the occurrence's state if
 // necessary.
 func (s *Scheduler) task(j *job, id work.TaskID) *task {
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -324,7 +325,20 @@
 	if len(j.remoteDataCentres) > 0 {
 		l.encodedProgress.RemoteDataCentres = slices.Sorted(maps.Keys(j.remoteDataCentres))
 	}
-	return ledger.EncodeProgress(&l.encodedProgress)
+	row, omitted := ledger.FitProgress(j.Job, &l.encodedProgress, l.rowLimit(j))
+	if omitted > 0 && j.omittedRuns == 0 {
+		l.s.Log.Write(event.RecordShortened, event.Fields{"job": j.ID, "bytes": len(row), "limit": l.rowLimit(j), "omitted": omitted, "rejections": j.rejections})
+	}
+	j.omittedRuns = omitted
+	return row
+}
+
+// maxRowHalvings is how often the limit of a row that the store rejects is halved.
+const maxRowHalvings = 5
+
+// rowLimit returns the maximum size of the job's row.
+func (l *ledgerWriter) rowLimit(j *job) int {
+	return cmp.Or(l.s.RowBytes, ledger.DefaultRowBytes) >> min(j.rejections, maxRowHalvings)
 }
 
 // anyDone reports whether some task is done.
@@ -347,6 +361,9 @@
 	now := l.s.Now()
 	for i, j := range b.jobs {
 		j.storedChange = max(j.storedChange, b.changes[i])
+		if j.omittedRuns == 0 {
+			j.rejections = 0
+		}
 		l.progress.stored++
 		l.progress.longest = max(l.progress.longest, now-b.since[i])
 		l.outcomeStored(j, now)
@@ -404,7 +421,7 @@
 		l.maxRows = max(1, rows/2)
 	}
 	if invalid && rows == 1 {
-		l.s.after(rejectedRetry, func() {
+		l.s.after(l.countRejection(b), func() {
 			l.queueAgain(b)
 			l.flush()
 		})
@@ -414,6 +431,20 @@
 	l.switchPartition(b.partition, b.txn.Size(), err)
 }
 
+// countRejection counts that the store has rejected a transaction with one row, and returns the delay before the next attempt:
+// none for the record of a job that can be stored in a smaller row.
+func (l *ledgerWriter) countRejection(b *ledgerBatch) time.Duration {
+	if len(b.jobs) == 0 {
+		return rejectedRetry
+	}
+	j := b.jobs[0]
+	j.rejections++
+	if j.rejections <= maxRowHalvings && b.bytes > l.rowLimit(j) {
+		return 0
+	}
+	return rejectedRetry
+}
+
 // queueAgain queues the rows of a failed batch.
 func (l *ledgerWriter) queueAgain(b *ledgerBatch) {
 	for i, j := range b.jobs {
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -22,11 +22,13 @@
 	Workers  *worker.Client
 	Provider *provider.Client
 	// Policy is nil if no queue has a placement policy.
-	Policy  *worker.PolicyClient
-	Bounds  deployment.Bounds
-	Limits  deployment.InstanceService
-	Rows    RowCodec
-	Metrics *Metrics
+	Policy *worker.PolicyClient
+	Bounds deployment.Bounds
+	Limits deployment.InstanceService
+	// RowBytes is the maximum size of a row's value in the store, 0 for ledger.DefaultRowBytes.
+	RowBytes int
+	Rows     RowCodec
+	Metrics  *Metrics
 	// Holder is the name of the entry that holds the leader's lease; Epoch is the fencing token.
 	Holder string
 	Epoch  int64
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -102,11 +102,15 @@
 // decided by checkAttempts.
 func (s *Scheduler) recordFailure(t *task, failed work.FailedRun) bool {
 	j := t.job()
-	for _, known := range j.failures {
-		if known == failed || known.Run == failed.Run && known.Step == failed.Step && known.Index == failed.Index && known.Occurrence == failed.Occurrence {
-			return false
-		}
+	key := failed
+	key.Instance = ""
+	if failed.Run <= t.failuresKnownTo || j.failureSet[key] {
+		return false
+	}
+	if j.failureSet == nil {
+		j.failureSet = make(map[work.FailedRun]bool)
 	}
+	j.failureSet[key] = true
 	j.failures = append(j.failures, failed)
 	t.nextRun = max(t.nextRun, failed.Run+1)
 	s.countFailure(t, failed.Instance)
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -33,6 +33,8 @@
 	fleet   *emulator.Fleet
 	began   time.Time
 	s       *Scheduler
+	// rowBytes is the scheduler's limit on a row's value, 0 for the default.
+	rowBytes int
 	// log is the scheduler's log, discarded if it is nil.
 	log *event.Log
 	// commit, start, stop and renew replace the store's and the workers' calls if they are set. They are guarded by mu.
@@ -163,7 +165,7 @@
 			LeaseMax: 10 * time.Second, StopTime: 200 * time.Millisecond, MoveTime: 1500 * time.Millisecond,
 			MaintenanceTime: b.fleet.Times.MaintenanceTime, DisruptionTime: 4500 * time.Millisecond, Restore: 100 * time.Millisecond,
 		},
-		Limits: deployment.InstanceService{OrdersPerSecond: 64}, Holder: "leader", Epoch: epoch,
+		Limits: deployment.InstanceService{OrdersPerSecond: 64}, RowBytes: b.rowBytes, Holder: "leader", Epoch: epoch,
 		Config: config, InstanceOrdersFrom: make(map[string]time.Duration),
 		Now:  func() time.Duration { return time.Since(b.began) + time.Hour },
 		Wall: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, LeaseValid: func() bool { return true },
--- a/keel/work/job.go
+++ b/keel/work/job.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"iter"
 	"strconv"
 	"strings"
 	"time"
@@ -114,6 +115,23 @@
 	return n * j.OccurrenceCount()
 }
 
+// AllTasks returns all tasks of the job, numbered from 0 in the order of occurrences, steps and indexes.
+func (j *Job) AllTasks() iter.Seq2[int, TaskID] {
+	return func(yield func(int, TaskID) bool) {
+		n := 0
+		for k := range j.OccurrenceCount() {
+			for i := range j.Steps {
+				for index := range j.Steps[i].Count {
+					if !yield(n, TaskID{Job: j.ID, Occurrence: k, Step: i, Index: index}) {
+						return
+					}
+					n++
+				}
+			}
+		}
+	}
+}
+
 // LongRunning reports whether some step of the job runs until the job is cancelled.
 func (j *Job) LongRunning() bool {
 	for _, s := range j.Steps {
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -80,14 +80,24 @@
 	RemoteDataCentres []string `json:"away,omitempty"`
 	// Done is the set of completed tasks by occurrence and step.
 	Done map[int][]BitSet `json:"done,omitempty"`
-	// Failures lists the failed runs.
-	Failures []FailedRun `json:"failures,omitempty"`
+	// DoneTasks is the set of completed tasks by their numbers in Job.AllTasks, in place of Done in a row that Done would make
+	// too large.
+	DoneTasks BitSet `json:"done_tasks,omitempty"`
+	// Failures lists the failed runs. FailureCounts has the number of others by task, in a row that a list would make too large.
+	Failures      []FailedRun   `json:"failures,omitempty"`
+	FailureCounts FailureCounts `json:"failure_counts,omitempty"`
 	// Crashes lists the runs that ended with workers that crashed, as far as they count against their tasks.
 	Crashes []CrashedRun `json:"crashes,omitempty"`
 	// Checkpoints maps a task's name, without the job's ID, to its newest checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
 }
 
+// IsDone reports whether the task is among the completed ones of Done.
+func (p *Progress) IsDone(id TaskID) bool {
+	steps := p.Done[id.Occurrence]
+	return id.Step < len(steps) && steps[id.Step].Has(id.Index)
+}
+
 // Merge returns the union of both; if both have a checkpoint of a task, that of o.
 func (p Progress) Merge(o Progress) Progress {
 	merged := Progress{Started: p.Started || o.Started, Done: make(map[int][]BitSet), Checkpoints: make(map[string]string)}
@@ -97,6 +107,8 @@
 				merged.RemoteDataCentres = append(merged.RemoteDataCentres, dataCentre)
 			}
 		}
+		merged.DoneTasks = merged.DoneTasks.Union(from.DoneTasks)
+		merged.FailureCounts = merged.FailureCounts.merge(from.FailureCounts)
 		for k, steps := range from.Done {
 			merged.Done[k] = mergeBits(merged.Done[k], steps)
 		}
