A job that is too large to be stored is rejected at once and alone

Callers of jobs larger than a row got 503 again and again, and so did those whose jobs shared the transaction.

Cause: all jobs of a transaction got its result, also if the store had rejected it as invalid.

Change: a submission over the limit gets 413; a transaction that is rejected as invalid is divided.

TestSubmissionThatCantBeStored failed before: "row ... of table jobs too large" for jobs of two steps.

--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 // called from any goroutine.
 type SubmissionWriter struct {
 	Store *table.Store
+	// RowBytes is the maximum size of a row's value in the store, 0 for DefaultRowBytes.
+	RowBytes int
 
 	queues  [SubmissionPartitionCount]partitionQueue
 	latency atomic.Int64
@@ -57,10 +60,13 @@
 func (w *SubmissionWriter) Latency() time.Duration { return time.Duration(w.latency.Load()) }
 
 // Submit stores a job and returns the stored submission. If the job was stored before, that is the earlier one, whose home
-// data centre may differ, or its stub. It fails with kind KeyReused if the ID was used for another job, and with outcome
-// Unknown if the job may have been stored or may still be.
+// data centre may differ, or its stub. It fails with kind KeyReused if the ID was used for another job, with kind TooLarge if
+// the job is too large to be stored, and with outcome Unknown if the job may have been stored or may still be.
 func (w *SubmissionWriter) Submit(ctx context.Context, job *work.Job) (Submission, error) {
 	s := &pendingSubmission{job: job, body: Encode(job), result: make(chan commitResult, 1)}
+	if len(s.body) > w.rowBytes() {
+		return Submission{}, tooLarge(s)
+	}
 	q := &w.queues[partitionNumber(job.ID)]
 	q.mu.Lock()
 	if len(q.pending) >= maxBacklog {
@@ -129,7 +135,14 @@
 	return batch
 }
 
-// commitBatch stores the batch; if rows of some jobs already exist, it resolves those and retries with the others.
+func (w *SubmissionWriter) rowBytes() int { return cmp.Or(w.RowBytes, DefaultRowBytes) }
+
+func tooLarge(s *pendingSubmission) error {
+	return fault.New(fault.TooLarge, "job %s is too large to be stored: %d bytes with %d steps", s.job.ID, len(s.body), len(s.job.Steps))
+}
+
+// commitBatch stores the batch; if rows of some jobs already exist, it resolves those and retries with the others. A batch that
+// the store rejects as invalid is divided, so that one job that can't be stored holds back no others.
 func (w *SubmissionWriter) commitBatch(batch []*pendingSubmission) {
 	for len(batch) > 0 {
 		var txn table.Txn
@@ -143,6 +156,14 @@
 		result, err := w.Store.Commit(ctx, txn)
 		cancel()
 		w.latency.Store(int64(time.Since(start)))
+		if fault.IsKind(err, fault.Internal) && len(batch) > 1 {
+			w.commitBatch(batch[:len(batch)/2])
+			w.commitBatch(batch[len(batch)/2:])
+			return
+		}
+		if fault.IsKind(err, fault.Internal) && len(batch[0].body) > w.rowBytes()/2 {
+			err = tooLarge(batch[0])
+		}
 		if !fault.IsKind(err, fault.Conflict) || len(result.Current) == 0 {
 			resolveAll(batch, result.Version, unknownIfConflict(err))
 			return
