Run numbers that counts stand for are compared only where counts were restored

The check for runs that FailureCounts stand for compared with 0 where there are none. Run numbers are positive, so that nothing but TestOnlyFailedRunsOfOpenTasksCount showed it, which uses negative ones.

--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -104,7 +104,7 @@
 	j := t.job()
 	key := failed
 	key.Instance = ""
-	if failed.Run <= t.failuresKnownTo || j.failureSet[key] {
+	if t.failuresKnownTo > 0 && failed.Run <= t.failuresKnownTo || j.failureSet[key] {
 		return false
 	}
 	if j.failureSet == nil {
