What comes from outside is checked against the range of each field

Odd rows of another writer counted as workers: with port 99999 or no address, with a capacity of 2^63-1 or negative memory, with a clock of 1e308 ms. After a change of leader, tasks waited more than 6 s for such a worker.

Cause: rows were checked for types and a few required fields only. A number of milliseconds beyond the range of a duration also gives another value on each kind of processor.

An odd instance is left out of the list and logged. A task specification of keel/gateway is nested 64 deep at most, because the messages that carry it are limited.

--- a/keel/gateway/jobs.go
+++ b/keel/gateway/jobs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "cannot parse job: %v", err)
 	}
-	err = checkSize(submission.Size)
+	err = submission.check()
 	if err != nil {
 		return nil, err
 	}
@@ -102,14 +103,51 @@
 	})
 }
 
-// checkSize rejects a size without cores or memory, or with a negative number of accelerators.
-func checkSize(size platform.Size) error {
+const (
+	// maxSize bounds each dimension of a size, so that sums of sizes can't overflow.
+	maxSize = 1_000_000_000
+	// maxWorkDepth bounds the nesting of the task specification, which is stored and sent inside other JSON messages. Decoders
+	// of JSON limit the nesting of a whole message.
+	maxWorkDepth = 64
+)
+
+// check fails with kind BadRequest for a size without cores or memory, with a negative number of accelerators or out of range,
+// and for a task specification that is nested too deeply.
+func (s *Submission) check() error {
+	size := s.Size
 	if size.MilliCores <= 0 || size.MemoryMB <= 0 || size.Accelerators < 0 {
 		return fault.New(fault.BadRequest, "size: milli_cores and memory_mb must be positive and accelerators not negative")
 	}
+	if max(size.MilliCores, size.MemoryMB, size.Accelerators) > maxSize {
+		return fault.New(fault.BadRequest, "size: milli_cores, memory_mb and accelerators must be at most %d", maxSize)
+	}
+	if workDepth(s.Work) > maxWorkDepth {
+		return fault.New(fault.BadRequest, "work: more than %d arrays and objects inside each other", maxWorkDepth)
+	}
 	return nil
 }
 
+// workDepth returns how deeply the arrays and objects of valid JSON are nested, at most maxWorkDepth+1.
+func workDepth(data json.RawMessage) int {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	depth, deepest := 0, 0
+	for deepest <= maxWorkDepth {
+		token, err := decoder.Token()
+		if err != nil {
+			// The end of the data.
+			break
+		}
+		switch token {
+		case json.Delim('['), json.Delim('{'):
+			depth++
+			deepest = max(deepest, depth)
+		case json.Delim(']'), json.Delim('}'):
+			depth--
+		}
+	}
+	return deepest
+}
+
 // jobKey returns the caller's idempotency key, or a new one for a caller that sends none.
 func jobKey(ctx *fasthttp.RequestCtx) (string, error) {
 	key := string(ctx.Request.Header.Peek(HeaderIdempotencyKey))
--- a/keel/provider/provider.go
+++ b/keel/provider/provider.go
@@ -34,6 +34,8 @@
 // Page is one page of the list.
 type Page struct {
 	Instances []Instance
+	// Unreadable says for each instance that can't be used what is wrong with it; such instances aren't listed.
+	Unreadable []string
 	// NextToken is the token of the next page, empty on the last page.
 	NextToken string
 }
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -50,7 +50,9 @@
 // fleetState is the state of the instances and of the orders that were given to them.
 type fleetState struct {
 	instances map[string]provider.Instance
-	listedAt  time.Duration
+	// unreadable says what is wrong with the instances of the latest list that can't be used.
+	unreadable []string
+	listedAt   time.Duration
 	// lists is the number of instance lists that were applied; lastList holds, by instance, the number of the last one
 	// that has it.
 	lists          int64
@@ -108,8 +110,8 @@
 	}
 	s.fleet.listing = true
 	sent := s.Now()
-	call(s, providerTimeout, func(ctx context.Context) ([]provider.Instance, error) { return listAll(ctx, s.Provider) },
-		func(all []provider.Instance, err error) {
+	call(s, providerTimeout, func(ctx context.Context) (provider.Page, error) { return listAll(ctx, s.Provider) },
+		func(all provider.Page, err error) {
 			s.fleet.listing = false
 			s.after(listInterval, s.fetchInstances)
 			if err != nil {
@@ -117,19 +119,36 @@
 				return
 			}
 			s.recordStoreResponse(instanceList)
-			s.applyInstances(all, sent)
+			s.reportUnreadable(all.Unreadable)
+			s.applyInstances(all.Instances, sent)
 		})
 }
 
-func listAll(ctx context.Context, client *provider.Client) ([]provider.Instance, error) {
-	var all []provider.Instance
+// reportUnreadable logs the instances that the list can't be used of, when they change.
+func (s *Scheduler) reportUnreadable(reasons []string) {
+	if slices.Equal(reasons, s.fleet.unreadable) {
+		return
+	}
+	s.fleet.unreadable = reasons
+	for _, reason := range reasons[:min(len(reasons), maxReportedInstances)] {
+		s.Log.Write(event.RowUnreadable, event.Fields{"table": "instances", "key": "", "version": 0, "reason": reason})
+	}
+}
+
+// maxReportedInstances is the number of unreadable instances of one list that are logged.
+const maxReportedInstances = 8
+
+// listAll returns all pages as one.
+func listAll(ctx context.Context, client *provider.Client) (provider.Page, error) {
+	var all provider.Page
 	token := ""
 	for {
 		page, err := client.List(ctx, token)
 		if err != nil {
-			return nil, err
+			return provider.Page{}, err
 		}
-		all = append(all, page.Instances...)
+		all.Instances = append(all.Instances, page.Instances...)
+		all.Unreadable = append(all.Unreadable, page.Unreadable...)
 		token = page.NextToken
 		if token == "" {
 			return all, nil
--- a/keel/schedule/unreadable_test.go
+++ b/keel/schedule/unreadable_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
@@ -75,3 +77,37 @@
 		assert.Equal(t, b.starts(), 2)
 	})
 }
+
+// Guards against runs that are lost, and leaders that end, because of odd registrations: hundreds of rows that can't be decoded, written
+// again and again, and a worker's own row that turns odd and back while tasks run there, also when the leader changes.
+func TestOddRegistrationsLoseNoRuns(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 4, 8*time.Second), 8*time.Second)
+		time.Sleep(time.Second)
+		host := b.hosts()[0]
+		putOdd := func(name string) {
+			b.store.Put(table.Write{Key: table.Key{Table: emulator.RegistrationTable, Name: name}, Value: []byte(`{"ID":[[[[`)})
+		}
+		for range 5 {
+			for i := range 400 {
+				putOdd(fmt.Sprintf("odd-%d", i))
+			}
+			// The next heartbeat replaces the worker's odd row.
+			putOdd(host.ID)
+			time.Sleep(300 * time.Millisecond)
+			assert.Equal(t, len(b.hosts()), 1)
+			b.nextEpoch()
+			time.Sleep(900 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, b.state(), work.Completed)
+		assert.Equal(t, b.starts(), 4)
+		b.submit(singleStepJob("00000000000000b2", "p", 4, 100*time.Millisecond), 100*time.Millisecond)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.countStates(work.Completed), 2)
+		b.onLoop(func() { assert.Equal(t, len(b.s.workers), 1) })
+	})
+}
