Callers can't use up an entry's descriptors, and errors of accept end nothing

Cause: an error of accept ended the server and with it the process, and nothing bounded callers' connections; maxFds was read and not used.

Change: callers' connections get two thirds of the descriptors; beyond that the one that has been idle for longest is closed for a new one, or the new one gets 503 if none is idle. Errors of accept are retried on all listeners, those for other entries and of entry/daemon included, and logged.

--- a/entry/connection/set.go
+++ b/entry/connection/set.go
@@ -15,23 +15,29 @@
 // Set holds the states of a server's open connections; its methods may be called by any goroutine.
 type Set struct {
 	mu     sync.Mutex
-	states map[net.Conn]fasthttp.ConnState
+	states map[net.Conn]tracked
 	// changed is closed at the next change of a state; nil if no goroutine waits for one.
 	changed chan struct{}
 }
 
+// tracked is a state of a connection and when it began.
+type tracked struct {
+	state fasthttp.ConnState
+	since time.Time
+}
+
 // Track records a change of a connection's state; it is used as the server's ConnState.
 func (c *Set) Track(conn net.Conn, state fasthttp.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.states == nil {
-		c.states = make(map[net.Conn]fasthttp.ConnState)
+		c.states = make(map[net.Conn]tracked)
 	}
 	switch state {
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
 		delete(c.states, conn)
 	default:
-		c.states[conn] = state
+		c.states[conn] = tracked{state: state, since: time.Now()}
 	}
 	if c.changed != nil {
 		close(c.changed)
@@ -58,8 +64,8 @@
 
 func (c *Set) active() int {
 	count := 0
-	for _, state := range c.states {
-		if state == fasthttp.StateActive {
+	for _, t := range c.states {
+		if t.state == fasthttp.StateActive {
 			count++
 		}
 	}
@@ -100,8 +106,8 @@
 func (c *Set) closeInactive() {
 	c.mu.Lock()
 	var inactive []net.Conn
-	for conn, state := range c.states {
-		if state != fasthttp.StateActive {
+	for conn, t := range c.states {
+		if t.state != fasthttp.StateActive {
 			inactive = append(inactive, conn)
 		}
 	}
@@ -110,3 +116,22 @@
 		_ = conn.Close()
 	}
 }
+
+// closeLongestIdle closes the connection that has been idle for longest, and returns false if none is idle.
+func (c *Set) closeLongestIdle() bool {
+	c.mu.Lock()
+	var longest net.Conn
+	for conn, t := range c.states {
+		if t.state == fasthttp.StateIdle && (longest == nil || t.since.Before(c.states[longest].since)) {
+			longest = conn
+		}
+	}
+	// The next call must not choose the same connection.
+	delete(c.states, longest)
+	c.mu.Unlock()
+	if longest == nil {
+		return false
+	}
+	_ = longest.Close()
+	return true
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -106,7 +106,9 @@
 // Run serves until ctx ends, then finishes the requests in flight and hands over the entry's duties.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.setDefaults()
-	listeners, err := listenAll(d.Listen, d.Config.Listen)
+	listeners, err := listenAll(d.Listen, d.Config.Listen, func(setting string, err error, delay time.Duration) {
+		d.Log.Write(event.AcceptFailed, event.Fields{"listener": setting, "reason": err.Error(), "retry_ms": delay.Milliseconds()})
+	})
 	if err != nil {
 		return err
 	}
--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"strings"
+	"time"
 
 	"samphirekeel.example/entry/config"
+	"samphirekeel.example/keel/accept"
 	"samphirekeel.example/keel/fault"
 )
 
@@ -15,7 +17,7 @@
 
 // CheckListen fails with kind Usage, and lists each setting whose address the entry cannot listen on now.
 func CheckListen(addresses config.Listen) error {
-	opened, err := listenAll(func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, addresses)
+	opened, err := listenAll(func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, addresses, func(string, error, time.Duration) {})
 	if err != nil {
 		return err
 	}
@@ -23,8 +25,9 @@
 	return nil
 }
 
-// listenAll opens all listeners or none; its error lists every setting whose address cannot be listened on.
-func listenAll(listen func(string) (net.Listener, error), addresses config.Listen) (*listeners, error) {
+// listenAll opens all listeners or none; its error lists every setting whose address cannot be listened on. onError is called with
+// the errors of accept, which are retried.
+func listenAll(listen func(string) (net.Listener, error), addresses config.Listen, onError func(setting string, err error, delay time.Duration)) (*listeners, error) {
 	opened := &listeners{}
 	var problems []string
 	for _, spec := range []struct {
@@ -40,7 +43,7 @@
 			problems = append(problems, spec.setting+": "+err.Error())
 			continue
 		}
-		*spec.into = listener
+		*spec.into = accept.New(listener, func(err error, delay time.Duration) { onError(spec.setting, err, delay) })
 	}
 	if len(problems) > 0 {
 		opened.close()
--- a/entry/site/listen.go
+++ b/entry/site/listen.go
@@ -3,7 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
+	"samphirekeel.example/entry/connection"
+	"samphirekeel.example/keel/accept"
+	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
 )
 
@@ -33,7 +37,9 @@
 			open.close()
 			return nil, fault.Wrap(fault.Usage, err, "listen for %s", a.name)
 		}
-		*a.listener = listener
+		*a.listener = accept.New(listener, func(err error, delay time.Duration) {
+			s.Log.Write(event.AcceptFailed, event.Fields{"listener": a.name, "reason": err.Error(), "retry_ms": delay.Milliseconds()})
+		})
 	}
 	return open, nil
 }
@@ -58,3 +64,27 @@
 	}
 	return fmt.Sprintf("%s:%d", s.Settings.IP, s.MetricsPort)
 }
+
+const (
+	// reservedDescriptors is the number of descriptors that the platform reserves for files.
+	reservedDescriptors = 200
+	// callerShare is the share of the other descriptors for connections of callers. The rest is for the store, the instance
+	// service, workers, other entries and readiness probes.
+	callerShare = 2.0 / 3
+)
+
+// maxCallers returns the maximum number of open connections of callers, 0 for no limit.
+func (s *Entry) maxCallers() int {
+	if s.Settings.Limits.Descriptors == 0 {
+		return 0
+	}
+	return max(1, int(callerShare*float64(s.Settings.Limits.Descriptors-reservedDescriptors)))
+}
+
+// limitCallers limits the number of open connections of callers.
+func (s *Entry) limitCallers(listener net.Listener) net.Listener {
+	most := s.maxCallers()
+	return &connection.Limited{Listener: listener, Set: &s.conns, Max: most, OnFull: func(refused bool) {
+		s.Log.Write(event.CallersLimited, event.Fields{"limit": most, "refused": refused})
+	}}
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -153,7 +153,7 @@
 	group, groupCtx := errgroup.WithContext(serveCtx)
 	s.relayClient.Post = func(f func()) { s.loop.Post(groupCtx, f) }
 	group.Go(func() error { return s.loop.Run(groupCtx, s.start) })
-	group.Go(func() error { return ignoreAfterStop(groupCtx, s.callerServer().Serve(opened.callers)) })
+	group.Go(func() error { return ignoreAfterStop(groupCtx, s.callerServer().Serve(s.limitCallers(opened.callers))) })
 	group.Go(func() error { return ignoreAfterStop(groupCtx, s.readinessServer().Serve(opened.readiness)) })
 	group.Go(func() error { return s.node.Serve(groupCtx, opened.peers) })
 	if opened.metrics != nil {
--- a/keel/event/entry.go
+++ b/keel/event/entry.go
@@ -9,6 +9,8 @@
 	EntryStopping
 	EntryStopped
 	EntryRequestFailed
+	AcceptFailed
+	CallersLimited
 )
 
 var entryEvents = []Definition{
@@ -16,5 +18,7 @@
 	{EntryReady, "entry_ready", logrus.InfoLevel, "an entry has settings and accepts requests", []string{"revision"}},
 	{EntryStopping, "entry_stopping", logrus.InfoLevel, "an entry was asked to stop and finishes its requests in flight", []string{"in_flight"}},
 	{EntryStopped, "entry_stopped", logrus.InfoLevel, "an entry has stopped and exits", nil},
+	{AcceptFailed, "accept_failed", logrus.WarnLevel, "a listener can't accept a connection, for example because descriptors are used up, and tries again after the delay", []string{"listener", "reason", "retry_ms"}},
+	{CallersLimited, "callers_limited", logrus.WarnLevel, "a new caller exceeds the limit of open connections, so that the connection that has been idle for longest is closed or, if none is idle, the new one is refused with 503", []string{"limit", "refused"}},
 	{EntryRequestFailed, "entry_request_failed", logrus.InfoLevel, "the response to a request is an error", []string{"request", "kind", "outcome", "reason"}},
 }
