Rows of ended jobs go, and a takeover reads open work only

Cause: nothing removed these rows; status_s was read and not used.

Change (docs/design/0085): the outcome replaces the submission in a table of its own, which takeovers don't read; the job's other rows are removed then, and that one after 2 x status_s, under their versions. The leader's memory forgets a job after status_s.

--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -259,15 +259,11 @@
 
 // countPending returns the number of the queue's jobs that have no stored start and are not cancelled.
 func countPending(c ledger.Contents, name string) int {
-	cancelled := make(map[string]bool)
-	for _, id := range c.Cancels {
-		cancelled[id] = true
-	}
 	n := 0
 	for _, submission := range c.Jobs {
 		entry := c.JobRecords[submission.Job.ID]
 		started := entry.Outcome != nil || entry.Progress != nil && entry.Progress.Started
-		if submission.Job.Queue == name && !started && !cancelled[submission.Job.ID] {
+		if submission.Job.Queue == name && !started && len(c.Cancels[submission.Job.ID]) == 0 {
 			n++
 		}
 	}
--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -58,6 +58,7 @@
 	TrialLost
 	EndsTruncated
 	RecordShortened
+	EndedRowsRemoved
 )
 
 var scheduleEvents = []Definition{
@@ -113,6 +114,7 @@
 	{TrialLost, "trial_lost", logrus.WarnLevel, "a run of a suspected task that an earlier leader may have started is listed by no worker and counts as a crash that keeps the task apart", []string{"task", "run", "crashes"}},
 	{EndsTruncated, "ends_truncated", logrus.WarnLevel, "a worker has more ends than it lists at a time: a run that it lists neither as active nor as ended keeps its task from being started again, until the worker has listed all ends; with the number of ends that aren't stored and of the runs that may be over", []string{"worker", "listed", "not_stored", "runs"}},
 	{RecordShortened, "record_shortened", logrus.WarnLevel, "the row of a job would be larger than the store accepts, so that it leaves out failed and crashed runs, which a next leader won't count; with the number of runs, and of transactions with this row alone that the store has rejected", []string{"job", "bytes", "limit", "omitted", "rejections"}},
+	{EndedRowsRemoved, "ended_rows_removed", logrus.InfoLevel, "the leader removes the rows of jobs in a partition of the submissions that ended longer ago than callers may ask for them; with the number of rows that it has read there", []string{"part", "removed", "rows"}},
 	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -20,6 +20,8 @@
 const (
 	// Submissions stores submissions.
 	Submissions = "jobs"
+	// Ended stores the outcomes of jobs that have ended, in the partitions of their submissions, which they replace.
+	Ended = "ended"
 	// JobRecords stores the progress and outcomes of jobs.
 	JobRecords = "ledger"
 	// Cancels stores accepted cancel requests.
@@ -49,6 +51,11 @@
 	return table.Key{Table: Submissions, Partition: PartitionOf(id), Name: id}
 }
 
+// EndedKey returns the key of the row that replaces a job's submission after the job has ended.
+func EndedKey(id string) table.Key {
+	return table.Key{Table: Ended, Partition: PartitionOf(id), Name: id}
+}
+
 // LeaderPartitions lists the partitions that the leader writes to.
 func LeaderPartitions() []string { return []string{"ledger0", "ledger1", "ledger2"} }
 
@@ -69,12 +76,15 @@
 	return k
 }
 
-// Stub replaces a submission after its job has ended.
+// Stub replaces a submission after its job has ended, until the job is forgotten.
 type Stub struct {
 	ID     string `json:"id"`
 	Digest uint64 `json:"digest"`
 	// Ended is always true; submissions don't have the field.
 	Ended bool `json:"ended"`
+	// Outcome is nil in rows of earlier versions, which replaced the submission in its own table and kept the outcome in
+	// JobRecords.
+	Outcome *work.Outcome `json:"outcome,omitempty"`
 }
 
 // JobRecord is the leader's record of a job: its progress until the job ends, then its outcome.
@@ -154,22 +164,24 @@
 type Submission struct {
 	Job     *work.Job
 	Version uint64
-	// Digest is the digest of the submission; Ended reports whether the row is a stub.
-	Digest uint64
-	Ended  bool
+	// Digest is the digest of the submission; Ended reports whether the row is a stub, of which Outcome is the outcome.
+	Digest  uint64
+	Ended   bool
+	Outcome *work.Outcome
 }
 
 // DecodeSubmission decodes a submission or its stub.
 func DecodeSubmission(row table.Row) (Submission, error) {
 	var decoded struct {
 		work.Job
-		Ended bool `json:"ended"`
+		Ended   bool          `json:"ended"`
+		Outcome *work.Outcome `json:"outcome"`
 	}
 	err := json.Unmarshal(row.Value, &decoded)
 	if err != nil {
 		return Submission{}, fault.Wrap(fault.Internal, err, "decode submission %s", row.Name)
 	}
-	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended}
+	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended, Outcome: decoded.Outcome}
 	if !decoded.Ended {
 		job := decoded.Job
 		s.Job = &job
@@ -193,7 +205,7 @@
 		return "", err
 	}
 	if !ok {
-		return "", fault.New(fault.NotExist, "job %s", id)
+		return s.findReplaced(ctx, id)
 	}
 	submission, err := DecodeSubmission(row)
 	if err != nil {
@@ -209,7 +221,27 @@
 	return work.Queued, err
 }
 
-// findEnded returns the state of a job whose submission is a stub. The stub is written after the outcome, so that this
+// findReplaced returns the state of a job that has no submission. It is read after the submission, which is removed when
+// the outcome replaces it.
+func (s *JobStore) findReplaced(ctx context.Context, id string) (work.State, error) {
+	row, ok, err := s.readRow(ctx, EndedKey(id))
+	if err != nil {
+		return "", err
+	}
+	if !ok {
+		return "", fault.New(fault.NotExist, "job %s", id)
+	}
+	ended, err := DecodeSubmission(row)
+	if err == nil && ended.Outcome == nil {
+		err = fault.New(fault.Internal, "row of ended job %s has no outcome", id)
+	}
+	if err != nil {
+		return "", err
+	}
+	return ended.Outcome.State, nil
+}
+
+// findEnded returns the state of a job whose submission is a stub of an earlier version. The stub is written after the outcome, so that this
 // second read of the leader's partitions finds an outcome that was stored after the first one.
 func (s *JobStore) findEnded(ctx context.Context, id string) (work.State, error) {
 	state, found, err := s.recordedState(ctx, id)
--- a/keel/ledger/load.go
+++ b/keel/ledger/load.go
@@ -29,10 +29,14 @@
 // Contents is the state of the ledger that a new leader starts from.
 type Contents struct {
 	// Jobs lists the submissions that have no stub yet.
-	Jobs       []Submission
+	Jobs []Submission
+	// Stubs holds the versions of submissions that an earlier version of the program has replaced by stubs.
+	Stubs      map[string]uint64
 	JobRecords map[string]JobRecord
-	Cancels    []string
-	Roster     map[string]RosterRecord
+	// JobRecordRows lists the keys and versions of each job's rows in JobRecords, and Cancels those of its cancel requests.
+	JobRecordRows map[string][]table.Condition
+	Cancels       map[string][]table.Condition
+	Roster        map[string]RosterRecord
 	// RosterRows lists the keys and versions of each worker's rows.
 	RosterRows map[string][]table.Condition
 	Waves      map[int64]WaveProgress
@@ -85,7 +89,8 @@
 	}
 	c := Contents{
 		JobRecords: make(map[string]JobRecord), Roster: make(map[string]RosterRecord), RosterRows: make(map[string][]table.Condition),
-		Waves: make(map[int64]WaveProgress),
+		Waves: make(map[int64]WaveProgress), Stubs: make(map[string]uint64), JobRecordRows: make(map[string][]table.Condition),
+		Cancels: make(map[string][]table.Condition),
 	}
 	for _, scan := range l.scans {
 		for _, row := range scan.Page().Rows {
@@ -112,20 +117,26 @@
 }
 
 func (c *Contents) add(row table.Row) error {
+	condition := table.Condition{Key: row.Key, Version: row.Version}
 	switch row.Table {
 	case Submissions:
 		submission, err := DecodeSubmission(row)
-		if err == nil && !submission.Ended {
+		switch {
+		case err != nil:
+		case submission.Ended:
+			c.Stubs[row.Name] = row.Version
+		default:
 			c.Jobs = append(c.Jobs, submission)
 		}
 		return err
 	case Cancels:
-		c.Cancels = append(c.Cancels, row.Name)
+		c.Cancels[row.Name] = append(c.Cancels[row.Name], condition)
 		return nil
 	case JobRecords:
+		c.JobRecordRows[row.Name] = append(c.JobRecordRows[row.Name], condition)
 		return decodeInto(row, c.JobRecords, row.Name, JobRecord.Merge)
 	case Roster:
-		c.RosterRows[row.Name] = append(c.RosterRows[row.Name], table.Condition{Key: row.Key, Version: row.Version})
+		c.RosterRows[row.Name] = append(c.RosterRows[row.Name], condition)
 		return decodeInto(row, c.Roster, row.Name, RosterRecord.Merge)
 	}
 	number, err := strconv.ParseInt(row.Name, 10, 64)
--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -14,8 +14,8 @@
 
 const (
 	// maxBatchJobs and maxBatchBytes limit one transaction of submissions: the store accepts 100 conditions and writes,
-	// two for each job, and 1 MB in base64.
-	maxBatchJobs  = 48
+	// three for each job, and 1 MB in base64.
+	maxBatchJobs  = 33
 	maxBatchBytes = 400_000
 	// commitTimeout is the timeout of one transaction, which takes about 0.8 s at 60 times the store's usual latency.
 	commitTimeout = 2 * time.Second
@@ -148,7 +148,7 @@
 		var txn table.Txn
 		for _, s := range batch {
 			k := SubmissionKey(s.job.ID)
-			txn.Conditions = append(txn.Conditions, table.Condition{Key: k})
+			txn.Conditions = append(txn.Conditions, table.Condition{Key: k}, table.Condition{Key: EndedKey(s.job.ID)})
 			txn.Writes = append(txn.Writes, table.Write{Key: k, Value: s.body})
 		}
 		start := time.Now()
@@ -191,7 +191,9 @@
 func resolveExisting(batch []*pendingSubmission, current []table.Row) []*pendingSubmission {
 	existing := make(map[string]table.Row)
 	for _, row := range current {
-		existing[row.Name] = row
+		if row.Version != 0 {
+			existing[row.Name] = row
+		}
 	}
 	var remaining []*pendingSubmission
 	for _, s := range batch {
--- a/keel/schedule/cleanup.go
+++ b/keel/schedule/cleanup.go
@@ -38,7 +38,11 @@
 		return
 	}
 	l.stale[partition] = l.stale[partition][len(rows):]
-	txn := table.Txn{Conditions: []table.Condition{ledger.GuardCondition(partition, s.guards[partition])}}
+	var txn table.Txn
+	guard, guarded := s.guards[partition]
+	if guarded {
+		txn.Conditions = append(txn.Conditions, ledger.GuardCondition(partition, guard))
+	}
 	for _, row := range rows {
 		txn.Conditions = append(txn.Conditions, row)
 		txn.Removals = append(txn.Removals, row.Key)
@@ -46,7 +50,11 @@
 	call(s, callTimeout, func(ctx context.Context) (table.Result, error) { return s.Store.Commit(ctx, txn) },
 		func(result table.Result, err error) {
 			if err == nil {
-				s.after(staleInterval, func() { s.removeStale(partition) })
+				delay := staleInterval
+				if len(l.stale[partition]) > maxStaleBacklog {
+					delay = 0
+				}
+				s.after(delay, func() { s.removeStale(partition) })
 				return
 			}
 			// Rows that were written again meanwhile are kept. A removal with unknown outcome is harmless if it takes
@@ -88,15 +96,17 @@
 	})
 }
 
-// cleanUp removes obsolete rows and replaces the submissions of ended jobs with stubs, which hold only a job's ID and
-// digest. It does so at most once per stubInterval.
+// cleanUp removes obsolete rows and replaces the submissions of ended jobs with their outcomes. It does so at most once per
+// stubInterval.
 func (s *Scheduler) cleanUp(now time.Duration) {
 	l := &s.ledger
 	if now-l.stubbedAt < stubInterval || !s.LeaseValid() {
 		return
 	}
 	l.stubbedAt = now
-	for _, partition := range l.partitions {
+	s.dropRetired(now)
+	s.dropUnknownCancels(now)
+	for partition := range l.stale {
 		s.removeStale(partition)
 	}
 	byPartition := make(map[string][]*job)
@@ -111,20 +121,46 @@
 	}
 	l.pendingStubs = remaining
 	for _, jobs := range byPartition {
-		s.writeStubs(jobs)
+		s.replaceSubmissions(jobs)
 	}
 }
 
-func (s *Scheduler) writeStubs(jobs []*job) {
+// replaceSubmissions stores the outcomes of ended jobs of one partition in place of their submissions.
+func (s *Scheduler) replaceSubmissions(jobs []*job) {
 	var txn table.Txn
 	for _, j := range jobs {
-		stub := ledger.Stub{ID: j.ID, Digest: j.Digest, Ended: true}
-		txn.Writes = append(txn.Writes, table.Write{Key: ledger.SubmissionKey(j.ID), Value: ledger.Encode(stub)})
+		stub := ledger.Stub{ID: j.ID, Digest: j.Digest, Ended: true, Outcome: j.outcome}
+		txn.Writes = append(txn.Writes, table.Write{Key: ledger.EndedKey(j.ID), Value: ledger.Encode(stub)})
+		if j.version != 0 {
+			// A later submission under the same ID must not be removed by a transaction that takes effect late.
+			txn.Conditions = append(txn.Conditions, table.Condition{Key: ledger.SubmissionKey(j.ID), Version: j.version})
+			txn.Removals = append(txn.Removals, ledger.SubmissionKey(j.ID))
+		}
 	}
 	call(s, callTimeout, func(ctx context.Context) (table.Result, error) { return s.Store.Commit(ctx, txn) },
-		func(_ table.Result, err error) {
-			if err != nil {
-				s.ledger.pendingStubs = append(s.ledger.pendingStubs, jobs...)
+		func(result table.Result, err error) {
+			if err == nil {
+				for _, j := range jobs {
+					s.retire(j)
+				}
+				return
+			}
+			if fault.IsKind(err, fault.Conflict) {
+				forgetMissing(jobs, result.Current)
 			}
+			s.ledger.pendingStubs = append(s.ledger.pendingStubs, jobs...)
 		})
 }
+
+// forgetMissing clears the versions of the submissions that an earlier transaction of unknown outcome has removed.
+func forgetMissing(jobs []*job, current []table.Row) {
+	versions := make(map[string]uint64)
+	for _, row := range current {
+		versions[row.Name] = row.Version
+	}
+	for _, j := range jobs {
+		if versions[j.ID] != j.version {
+			j.version = 0
+		}
+	}
+}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/queue"
+	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 )
 
@@ -17,8 +19,11 @@
 	// queue is nil if the job's queue isn't known.
 	queue *queue.Queue
 	pool  *pool
-	// version is the version of the submission's row.
+	// version is the version of the submission's row, 0 if there may be none; rows holds the keys and versions of the job's rows
+	// in the ledger, and maybeIn the partitions in which a write of its row had an unknown outcome.
 	version uint64
+	rows    []table.Condition
+	maybeIn []string
 	// inherited is set if an earlier leader may have started tasks of the job.
 	inherited bool
 	// arrived is when the job was accepted, by the scheduler's clock.
@@ -126,6 +131,16 @@
 	return work.TaskID{Job: t.step.occurrence.job.ID, Occurrence: t.step.occurrence.index, Step: t.step.index, Index: t.index}
 }
 
+// recordRow records a row of the job in the ledger.
+func (j *job) recordRow(row table.Condition) {
+	i := slices.IndexFunc(j.rows, func(known table.Condition) bool { return known.Key == row.Key })
+	if i < 0 {
+		j.rows = append(j.rows, row)
+		return
+	}
+	j.rows[i].Version = max(j.rows[i].Version, row.Version)
+}
+
 func (t *task) job() *job { return t.step.occurrence.job }
 
 // needsRun reports whether the task is unfinished and has no run in progress.
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// addOutcome adds an ended job, of which only a stub is left, with its stored outcome.
+// addOutcome adds an ended job, of which no submission is left, with its stored outcome.
 func (s *Scheduler) addOutcome(id string, outcome *work.Outcome) {
 	if s.jobs[id] != nil {
 		return
@@ -79,7 +79,8 @@
 func (j *job) release() {
 	*j = job{
 		Job: &work.Job{ID: j.ID, Queue: j.Queue, Digest: j.Digest}, outcome: j.outcome, outcomeChange: j.outcomeChange, stored: j.stored,
-		lastChange: j.lastChange, storedChange: j.storedChange, dirty: j.dirty, dirtySince: j.dirtySince,
+		lastChange: j.lastChange, storedChange: j.storedChange, dirty: j.dirty, dirtySince: j.dirtySince, version: j.version, rows: j.rows,
+		maybeIn: j.maybeIn,
 	}
 }
 
--- a/keel/schedule/persist.go
+++ b/keel/schedule/persist.go
@@ -29,8 +29,8 @@
 	ledgerLatencyFactor = 4
 	// ledgerRetryDelay is the delay before a retry of a write that failed in every partition.
 	ledgerRetryDelay = 80 * time.Millisecond
-	// stubInterval is the interval between clean-up rounds, which replace ended submissions with stubs and remove
-	// obsolete rows.
+	// stubInterval is the interval between clean-up rounds, which replace the submissions of ended jobs with their outcomes and
+	// remove obsolete rows.
 	stubInterval = 1500 * time.Millisecond
 	// copyDelay is the delay before a row is searched in a partition in which a write of it had an unknown outcome. Such a
 	// write may take effect some seconds late.
@@ -39,8 +39,11 @@
 	maxStaleRows = 45
 	// staleInterval is the delay between two transactions that remove obsolete rows of one partition.
 	staleInterval = 100 * time.Millisecond
-	// maxStubRows is the maximum number of stubs written in one round for one partition.
-	maxStubRows = 90
+	// maxStaleBacklog is the number of obsolete rows of one partition from which there is no such delay.
+	maxStaleBacklog = 10 * maxStaleRows
+	// maxStubRows is the maximum number of submissions replaced in one round for one partition, with a condition, a write and a
+	// removal each.
+	maxStubRows = 33
 	// maxCommitsInFlight is the maximum number of transactions in flight. There is more than one only while the others are
 	// full.
 	maxCommitsInFlight = 4
@@ -73,8 +76,9 @@
 	raisingGuard   bool
 	flushScheduled bool
 	retryAt        time.Duration
-	pendingStubs   []*job
-	stubbedAt      time.Duration
+	// pendingStubs holds the ended jobs whose submissions aren't replaced yet.
+	pendingStubs []*job
+	stubbedAt    time.Duration
 	// stale holds obsolete rows by partition, with the versions under which they may be removed.
 	stale    map[string][]table.Condition
 	progress ledgerProgress
@@ -360,6 +364,7 @@
 	l.maxRows = min(maxBatchRows, 2*l.maxRows)
 	now := l.s.Now()
 	for i, j := range b.jobs {
+		j.recordRow(table.Condition{Key: ledger.InPartition(b.partition, ledger.JobRecordKey(j.ID)), Version: version})
 		j.storedChange = max(j.storedChange, b.changes[i])
 		if j.omittedRuns == 0 {
 			j.rejections = 0
@@ -412,6 +417,11 @@
 				e.maybeIn = append(e.maybeIn, b.partition)
 			}
 		}
+		for _, j := range b.jobs {
+			if !slices.Contains(j.maybeIn, b.partition) {
+				j.maybeIn = append(j.maybeIn, b.partition)
+			}
+		}
 	}
 	rows := len(b.txn.Writes)
 	// The store rejects a transaction as invalid in each partition and at each retry, for example for a row that is too
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -69,6 +69,10 @@
 	leaseInvalid bool
 	// pendingCancels holds the jobs whose cancel was read before their submission.
 	pendingCancels map[string]bool
+	// cancelRows holds the rows of stored cancels by job.
+	cancelRows map[string]*cancelRows
+	// retired holds the ended jobs that are forgotten at a time, in this order.
+	retired []retiredJob
 	// unreadable holds the jobs with a row that can't be decoded, for example of a later build. What has been done of them
 	// isn't known, so they are neither run nor changed nor shown by this leader.
 	unreadable map[string]bool
@@ -151,6 +155,7 @@
 	s.unrouted = make(map[*job]bool)
 	s.pending = make(map[string]int)
 	s.pendingCancels = make(map[string]bool)
+	s.cancelRows = make(map[string]*cancelRows)
 	s.unreadable = make(map[string]bool)
 	s.pools = make(map[string]*pool)
 	s.workers = make(map[string]*workerState)
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -96,15 +96,9 @@
 	s.loadRoster(contents)
 	s.ready = true
 	s.ledger.init(s)
-	for _, submission := range contents.ledger.Jobs {
-		s.addSubmission(submission, contents.ledger.JobRecords[submission.Job.ID], "ledger")
-	}
-	for id, record := range contents.ledger.JobRecords {
-		if record.Outcome != nil {
-			s.addOutcome(id, record.Outcome)
-		}
-	}
-	for _, id := range contents.ledger.Cancels {
+	s.loadJobs(contents.ledger)
+	for id, rows := range contents.ledger.Cancels {
+		s.addCancelRows(id, rows)
 		s.cancelStored(id)
 	}
 	s.waves.loadProgress(contents.ledger.Waves)
@@ -117,9 +111,49 @@
 		"took_ms": (s.Now() - s.began).Milliseconds(),
 	})
 	s.fetchInstances()
+	s.sweepEnded(0)
 	s.tick()
 }
 
+// loadJobs adds the jobs of the ledger. Ended ones whose outcomes have replaced their submissions are read later.
+func (s *Scheduler) loadJobs(contents ledger.Contents) {
+	for _, submission := range contents.Jobs {
+		id := submission.Job.ID
+		record, rows := contents.JobRecords[id], contents.JobRecordRows[id]
+		delete(contents.JobRecords, id)
+		if len(rows) > 0 && !s.unreadable[id] && latestVersion(rows) < submission.Version {
+			// The rows are those of an earlier job that is forgotten.
+			s.ledger.removeRows(rows)
+			record, rows = ledger.JobRecord{}, nil
+		}
+		s.addSubmission(submission, record, "ledger")
+		if s.jobs[id] != nil {
+			s.jobs[id].rows = rows
+		}
+	}
+	for id, record := range contents.JobRecords {
+		rows := contents.JobRecordRows[id]
+		switch {
+		case record.Outcome != nil:
+			s.addOutcome(id, record.Outcome)
+			j := s.jobs[id]
+			j.rows, j.version = rows, contents.Stubs[id]
+			s.ledger.pendingStubs = append(s.ledger.pendingStubs, j)
+		case !s.unreadable[id]:
+			// The submission is replaced, and this row was left by a write of unknown outcome.
+			s.ledger.removeRows(rows)
+		}
+	}
+}
+
+func latestVersion(rows []table.Condition) uint64 {
+	latest := uint64(0)
+	for _, row := range rows {
+		latest = max(latest, row.Version)
+	}
+	return latest
+}
+
 // loadRoster adds the workers that earlier leaders may have started tasks on.
 func (s *Scheduler) loadRoster(contents snapshot) {
 	for id, record := range contents.ledger.Roster {
@@ -203,6 +237,7 @@
 func (s *Scheduler) applyCancels(rows []table.Row, _ bool) {
 	for _, row := range rows {
 		if !row.Deleted {
+			s.addCancelRows(row.Name, []table.Condition{{Key: row.Key, Version: row.Version}})
 			s.cancelStored(row.Name)
 		}
 	}
--- a/keel/schedule/unreadable_test.go
+++ b/keel/schedule/unreadable_test.go
@@ -27,7 +27,8 @@
 		b.onLoop(b.s.End)
 		record := ledger.InPartition("ledger0", ledger.JobRecordKey(firstJob))
 		b.store.Put(table.Write{Key: record, Value: []byte(`{"outcome":"later"}`)})
-		// The stub was not written yet, and an entry announces the job again.
+		// The outcome has not replaced the submission yet, and an entry announces the job again.
+		b.store.Remove(ledger.EndedKey(firstJob))
 		job := singleStepJob(firstJob, "p", 1, 100*time.Millisecond)
 		b.store.Put(table.Write{Key: ledger.SubmissionKey(firstJob), Value: ledger.Encode(job)})
 		b.startEpoch(2, "p")
