The configuration's idle timeout is applied to callers' connections

Cause: the server's fixed idle timeout counts as a malformed request.

Change: the entry closes connections that have been idle for the time that the configuration says, and writes nothing on them.

TestIdleConnectionIsClosedWithoutResponse is new, as is the code that it tests.

--- a/entry/connection/limit_test.go
+++ b/entry/connection/limit_test.go
@@ -16,6 +16,7 @@
 type limitedServer struct {
 	t       *testing.T
 	address string
+	set     *Set
 	release chan struct{}
 	full    chan bool
 }
@@ -25,6 +26,7 @@
 	assert.NilError(t, err)
 	s := &limitedServer{t: t, address: listener.Addr().String(), release: make(chan struct{}), full: make(chan bool, 100)}
 	set := &Set{}
+	s.set = set
 	server := &fasthttp.Server{ConnState: set.Track, Handler: func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == "/wait" {
 			<-s.release
@@ -101,3 +103,26 @@
 	assert.Equal(t, <-statuses, 200)
 	assert.Equal(t, <-statuses, 200)
 }
+
+// Guards against a caller that takes the 400 with which an idle connection was closed for the response to its next request.
+func TestIdleConnectionIsClosedWithoutResponse(t *testing.T) {
+	s := newLimitedServer(t, 0)
+	idle, status := s.get("/")
+	assert.Equal(t, status, 200)
+	busy := make(chan int)
+	go func() {
+		_, status := s.get("/wait")
+		busy <- status
+	}()
+	time.Sleep(200 * time.Millisecond)
+	s.set.CloseIdle(time.Minute)
+	_, err := fmt.Fprint(idle, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.read(idle), 200)
+	time.Sleep(50 * time.Millisecond)
+	s.set.CloseIdle(20 * time.Millisecond)
+	n, err := idle.Read(make([]byte, 1))
+	assert.Assert(t, n == 0 && err != nil)
+	close(s.release)
+	assert.Equal(t, <-busy, 200)
+}
--- a/entry/connection/set.go
+++ b/entry/connection/set.go
@@ -135,3 +135,19 @@
 	_ = longest.Close()
 	return true
 }
+
+// CloseIdle closes the connections that have been idle for longer than the time. Nothing is written on them, which a caller could take
+// for the response to a request that it sends at that moment.
+func (c *Set) CloseIdle(longerThan time.Duration) {
+	c.mu.Lock()
+	var idle []net.Conn
+	for conn, t := range c.states {
+		if t.state == fasthttp.StateIdle && time.Since(t.since) > longerThan {
+			idle = append(idle, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -18,8 +18,12 @@
 const (
 	// maxBodyBytes is the maximum size of a request's body, which applies before the limits of its queue are known.
 	maxBodyBytes = 4 << 20
-	// idleTimeout is how long a caller's connection may be idle before it is closed.
-	idleTimeout = 60 * time.Second
+	// defaultIdleTimeout is how long a caller's connection may be idle before it is closed, unless the configuration says so. A longer
+	// time than maxIdleTimeout isn't applied.
+	defaultIdleTimeout = 60 * time.Second
+	maxIdleTimeout     = 5 * time.Minute
+	// idleCheckInterval is the interval between two checks for idle connections.
+	idleCheckInterval = time.Second
 	// readTimeout is the timeout for reading a request, from its first byte.
 	readTimeout = 10 * time.Second
 	// defaultCallerTimeout is the timeout of a caller that doesn't send one.
--- a/entry/site/listen.go
+++ b/entry/site/listen.go
@@ -88,3 +88,12 @@
 		s.Log.Write(event.CallersLimited, event.Fields{"limit": most, "refused": refused})
 	}}
 }
+
+// idleTimeout returns how long a connection of a caller may be idle.
+func (s *Entry) idleTimeout() time.Duration {
+	config := s.config.Load()
+	if config == nil || config.Limits.IdleTimeout == 0 {
+		return defaultIdleTimeout
+	}
+	return min(config.Limits.IdleTimeout, maxIdleTimeout)
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -251,6 +251,7 @@
 	s.lease.Start()
 	s.followOperatorTable()
 	s.loop.Every(relay.OfferInterval, s.updateRelays)
+	s.loop.Every(idleCheckInterval, func() { s.conns.CloseIdle(s.idleTimeout()) })
 }
 
 // startLeading starts the scheduler for a new epoch; it is called on the loop when the lease is acquired.
@@ -329,7 +330,7 @@
 func (s *Entry) callerServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: s.serveCaller, Name: "samphirekeel", ConnState: s.conns.Track, MaxRequestBodySize: maxBodyBytes,
-		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		IdleTimeout: 2 * maxIdleTimeout, ReadTimeout: readTimeout, NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		ErrorHandler: rejectMalformed,
 	}
 }
