Ended jobs are forgotten by the time of their end, submissions go under their present version

Found by reading: a leader that stored an outcome late kept the job in memory beyond the life of its row, so that another job under the same ID would have been ignored; and a submission whose version the leader knew wrongly stayed, so that the next leader would have run the job again.

TestSubmissionGoesUnderItsPresentVersion fails without the second change.

--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -241,8 +241,8 @@
 	return ended.Outcome.State, nil
 }
 
-// findEnded returns the state of a job whose submission is a stub of an earlier version. The stub is written after the outcome, so that this
-// second read of the leader's partitions finds an outcome that was stored after the first one.
+// findEnded returns the state of a job whose submission is a stub of an earlier version. The stub is written after the outcome, so
+// that this second read of the leader's partitions finds an outcome that was stored after the first one.
 func (s *JobStore) findEnded(ctx context.Context, id string) (work.State, error) {
 	state, found, err := s.recordedState(ctx, id)
 	if err != nil || found {
--- a/keel/schedule/cleanup.go
+++ b/keel/schedule/cleanup.go
@@ -146,21 +146,26 @@
 				return
 			}
 			if fault.IsKind(err, fault.Conflict) {
-				forgetMissing(jobs, result.Current)
+				updateVersions(jobs, result.Current)
 			}
 			s.ledger.pendingStubs = append(s.ledger.pendingStubs, jobs...)
 		})
 }
 
-// forgetMissing clears the versions of the submissions that an earlier transaction of unknown outcome has removed.
-func forgetMissing(jobs []*job, current []table.Row) {
-	versions := make(map[string]uint64)
+// updateVersions sets the versions of the jobs' submissions to those of the present rows, 0 for one that an earlier transaction of
+// unknown outcome has removed, or that is another job's.
+func updateVersions(jobs []*job, current []table.Row) {
+	present := make(map[string]ledger.Submission)
 	for _, row := range current {
-		versions[row.Name] = row.Version
+		submission, err := ledger.DecodeSubmission(row)
+		if err == nil && row.Version != 0 {
+			present[row.Name] = submission
+		}
 	}
 	for _, j := range jobs {
-		if versions[j.ID] != j.version {
-			j.version = 0
+		j.version = 0
+		if present[j.ID].Digest == j.Digest {
+			j.version = present[j.ID].Version
 		}
 	}
 }
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -25,8 +25,8 @@
 	commonCauseWorkers = 3
 )
 
-// survived returns for how long the run is known to have lasted: until the worker's last response
-// that may have come during the run.
+// survived returns for how long the run is known to have lasted: until the worker's last response, or until its last list that has
+// the run if a later one doesn't.
 func (r *run) survived() time.Duration {
 	if r.confirmedAt == 0 {
 		return 0
--- a/keel/schedule/ended.go
+++ b/keel/schedule/ended.go
@@ -32,7 +32,7 @@
 
 // retiredJob is an ended job whose outcome has replaced its submission.
 type retiredJob struct {
-	id    string
+	job   *job
 	until time.Duration
 }
 
@@ -62,21 +62,26 @@
 		s.ledger.removeRows(cancels.rows)
 		delete(s.cancelRows, j.ID)
 	}
-	s.forgetLater(j.ID)
+	s.forgetLater(j)
 }
 
-func (s *Scheduler) forgetLater(id string) {
-	s.retired = append(s.retired, retiredJob{id: id, until: s.Now() + s.jobRetention()})
+// forgetLater forgets the ended job jobRetention after its end, well before its row goes and its ID may name another job.
+func (s *Scheduler) forgetLater(j *job) {
+	age := s.Wall() - time.Duration(j.outcome.Ended)*time.Millisecond
+	s.retired = append(s.retired, retiredJob{job: j, until: s.Now() + s.jobRetention() - max(0, age)})
 }
 
 // dropRetired forgets the jobs whose time has passed; callers who ask for them get their state from the store.
 func (s *Scheduler) dropRetired(now time.Duration) {
-	n := 0
-	for n < len(s.retired) && s.retired[n].until < now {
-		delete(s.jobs, s.retired[n].id)
-		n++
-	}
-	s.retired = slices.Delete(s.retired, 0, n)
+	s.retired = slices.DeleteFunc(s.retired, func(r retiredJob) bool {
+		if r.until >= now {
+			return false
+		}
+		if s.jobs[r.job.ID] == r.job {
+			delete(s.jobs, r.job.ID)
+		}
+		return true
+	})
 }
 
 // addCancelRows records rows of stored cancels of a job.
@@ -177,7 +182,7 @@
 	for id, outcome := range page.recent {
 		if s.jobs[id] == nil && len(s.retired) < maxLoadedOutcomes {
 			s.addOutcome(id, outcome)
-			s.forgetLater(id)
+			s.forgetLater(s.jobs[id])
 		}
 	}
 }
--- a/keel/schedule/ended_test.go
+++ b/keel/schedule/ended_test.go
@@ -76,8 +76,9 @@
 				b.checker.Cancelled(fmt.Sprintf("%016x", jobs-1))
 				time.Sleep(300 * time.Millisecond)
 				disturb(b)
-				time.Sleep(105 * time.Second)
+				time.Sleep(85 * time.Second)
 				assert.Equal(t, b.countStates(work.Completed)+b.countStates(work.Cancelled), jobs)
+				time.Sleep(30 * time.Second)
 				for i := range jobs {
 					state, err := b.storedState(fmt.Sprintf("%016x", i))
 					assert.NilError(t, err)
@@ -147,3 +148,21 @@
 		assert.Equal(t, state, work.Completed)
 	})
 }
+
+// Guards against a job that runs again after the next change of leader because its submission stays: the leader knows another
+// version of the row.
+func TestSubmissionGoesUnderItsPresentVersion(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob(firstJob, "p", 1, 200*time.Millisecond), 200*time.Millisecond)
+		b.onLoop(func() { b.s.jobs[firstJob].version++ })
+		time.Sleep(8 * time.Second)
+		assert.DeepEqual(t, b.rowsOf(ledger.Submissions, ledger.Ended, ledger.JobRecords), map[string]int{ledger.Ended: 1})
+		b.nextEpoch()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.starts(), 1)
+		assert.Equal(t, b.state(), work.Completed)
+	})
+}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -71,7 +71,7 @@
 	pendingCancels map[string]bool
 	// cancelRows holds the rows of stored cancels by job.
 	cancelRows map[string]*cancelRows
-	// retired holds the ended jobs that are forgotten at a time, in this order.
+	// retired holds the ended jobs that are forgotten at a time.
 	retired []retiredJob
 	// unreadable holds the jobs with a row that can't be decoded, for example of a later build. What has been done of them
 	// isn't known, so they are neither run nor changed nor shown by this leader.
