--- a/keel/relay/replaced_test.go
+++ b/keel/relay/replaced_test.go
@@ -62,6 +62,8 @@
 		assert.NilError(t, err)
 		assert.Check(t, time.Since(began) < 50*time.Millisecond, "the results that can't be delivered delay others by %s", time.Since(began))
 		time.Sleep(2 * time.Second)
+		// The log is written by a goroutine of its own.
+		synctest.Wait()
 		mu.Lock()
 		defer mu.Unlock()
 		assert.Equal(t, len(delivered), 1)
