Tenants of a configuration: the types that both parts share

Cause: a configuration may hold tenants with keys, a weight and a cap, and nothing in the product names them. The entry's check of keys and the scheduler's caps and shares are built beside each other and need the same types first. Nothing sets or uses them yet.

--- a/keel/deployment/settings.go
+++ b/keel/deployment/settings.go
@@ -60,6 +60,12 @@
 	ContactTime time.Duration
 	// MaxSkew is the largest difference between the clocks of two processes.
 	MaxSkew time.Duration
+	// RefuseUnchecked reports that an entry which can't check the configuration refuses the keys of tenants from
+	// RevokeTime after its last check on.
+	RefuseUnchecked bool
+	RevokeTime      time.Duration
+	// CapOverage is the fraction by which the running tasks of a tenant may exceed its cap.
+	CapOverage float64
 }
 
 // Store holds the address of the store and its rate and size limits.
--- a/keel/queue/config.go
+++ b/keel/queue/config.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"samphirekeel.example/keel/tenant"
 )
 
 // PolicyTiming is the response time and the ticket validity of an external policy, which decides which workers may run
@@ -35,6 +37,8 @@
 	Timeout time.Duration
 	// Policy is nil for a queue whose steps may run on any worker.
 	Policy *PolicyTiming
+	// Public reports that calls need no key of a tenant; jobs of a public queue belong to no tenant.
+	Public bool
 }
 
 // Pool is a pool of instances.
@@ -62,6 +66,8 @@
 	Queues  []*Queue
 	Pools   map[string]Pool
 	Limits  Limits
+	// Tenants is nil if the configuration has no tenants; then no call needs a key.
+	Tenants *tenant.Set
 
 	byName map[string]*Queue
 	byHost map[string][]*Queue
--- a/keel/work/job.go
+++ b/keel/work/job.go
@@ -73,8 +73,10 @@
 	ID string `json:"id"`
 	// Queue is the name of the queue.
 	Queue string `json:"queue"`
-	Spec  string `json:"spec"`
-	Steps []Step `json:"steps"`
+	// Tenant is the name of the tenant that submitted the job, empty for none. It isn't part of Digest.
+	Tenant string `json:"tenant,omitempty"`
+	Spec   string `json:"spec"`
+	Steps  []Step `json:"steps"`
 	// Occurrences is the number of times that the steps run; 0 for a job that runs once and has no due time.
 	Occurrences int `json:"occurrences,omitempty"`
 	// First is the due time of occurrence 0, since 1970, and Interval the time between two due times; 0 without due
