--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -67,6 +67,11 @@
 		writeError(ctx, unknownQueue(string(ctx.Host()), path, current))
 		return callOther
 	}
+	from, err := s.authorise(checkedConfig{config, current}, q, &ctx.Request.Header)
+	if err != nil {
+		writeError(ctx, err)
+		return callOther
+	}
 	id := strings.TrimPrefix(path, q.Prefix)
 	timeout := platform.CallerTimeout(&ctx.Request.Header)
 	if timeout == 0 {
@@ -84,13 +89,13 @@
 	case !work.ValidID(id):
 		writeError(ctx, fault.New(fault.BadRequest, "%q is not a job's ID of 16 hexadecimal digits", id))
 	case ctx.IsPost():
-		s.serveSubmit(callCtx, ctx, checkedConfig{config, current}, q, id)
+		s.serveSubmit(callCtx, ctx, checkedConfig{config, current}, q, from, id)
 		return callSubmit
 	case ctx.IsGet():
-		s.serveState(callCtx, ctx, id)
+		s.serveState(callCtx, ctx, from, id)
 		return callState
 	case ctx.IsDelete():
-		s.serveCancel(callCtx, ctx, id)
+		s.serveCancel(callCtx, ctx, from, id)
 		return callCancel
 	default:
 		writeError(ctx, fault.New(fault.BadRequest, "unsupported method %s", ctx.Method()))
@@ -142,20 +147,20 @@
 	return fault.New(fault.TooLarge, "submission too large: %d bytes, limit %d", len(body), limit)
 }
 
-func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config checkedConfig, q *queue.Queue, id string) {
+func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config checkedConfig, q *queue.Queue, from caller, id string) {
 	body := ctx.PostBody()
 	err := config.checkBody(body)
 	if err != nil {
-		s.rejectSubmission(ctx, id, err)
+		s.rejectSubmission(ctx, id, from, err)
 		return
 	}
 	job, err := platform.DecodeJob(id, q.Name, body)
 	if err == nil {
-		job.Terms = config.Terms(q)
-		err = s.submit(callCtx, job)
+		job.Terms, job.Tenant = config.Terms(q), from.tenant
+		err = s.submit(callCtx, job, from)
 	}
 	if err != nil {
-		s.rejectSubmission(ctx, id, err)
+		s.rejectSubmission(ctx, id, from, err)
 		return
 	}
 	ctx.SetContentType("application/json")
@@ -163,7 +168,7 @@
 }
 
 // submit checks and stores a job and notifies the leader.
-func (s *Entry) submit(ctx context.Context, job *work.Job) error {
+func (s *Entry) submit(ctx context.Context, job *work.Job, from caller) error {
 	err := job.Check()
 	if err != nil {
 		return err
@@ -173,30 +178,36 @@
 		job.Home = s.Settings.DataCentre
 	}
 	began := time.Now()
-	version, via, err := s.storeJob(ctx, job)
+	version, via, err := s.storeJob(ctx, job, from)
 	if err != nil {
 		return err
 	}
 	s.Log.Write(event.JobStored, event.Fields{
-		"job": job.ID, "queue": job.Queue, "data_centre": s.Settings.DataCentre, "version": version, "via": via,
+		"job": job.ID, "queue": job.Queue, "tenant": job.Tenant, "data_centre": s.Settings.DataCentre, "version": version, "via": via,
 		"took_ms": time.Since(began).Milliseconds(),
 	})
 	return nil
 }
 
-func (s *Entry) rejectSubmission(ctx *fasthttp.RequestCtx, id string, err error) {
+func (s *Entry) rejectSubmission(ctx *fasthttp.RequestCtx, id string, from caller, err error) {
 	failure := fault.As(err)
-	s.Log.Write(event.JobRefused, event.Fields{"job": id, "kind": failure.Kind().String(), "outcome": string(failure.Outcome()), "reason": err.Error()})
+	s.Log.Write(event.JobRefused, event.Fields{
+		"job": id, "tenant": from.tenant, "kind": failure.Kind().String(), "outcome": string(failure.Outcome()), "reason": err.Error(),
+	})
 	writeError(ctx, err)
 }
 
 // storeJob stores the job and notifies the leader of it. It returns the job's version in the store and whether this entry
 // (viaStore) or the leader (viaLeader) stored it. An attempt with an unknown outcome is retried, because the job must not
 // be rejected while it may have been stored; if the caller's timeout ends first, or neither the store nor the leader can be
-// reached any more, the error has the kind OutcomeUnknown.
-func (s *Entry) storeJob(ctx context.Context, job *work.Job) (uint64, string, error) {
+// reached any more, the error has the kind OutcomeUnknown. A job that isn't stored yet is rejected if its caller's key is withdrawn.
+func (s *Entry) storeJob(ctx context.Context, job *work.Job, from caller) (uint64, string, error) {
 	maybeStored := false
 	for {
+		err := s.confirm(from, job.Queue)
+		if err != nil && !maybeStored {
+			return 0, "", err
+		}
 		version, via, err := s.storeJobOnce(ctx, job)
 		if err == nil || fault.IsKind(err, fault.KeyReused) {
 			return version, via, err
@@ -264,8 +275,8 @@
 	writeError(ctx, err)
 }
 
-func (s *Entry) serveState(callCtx context.Context, ctx *fasthttp.RequestCtx, id string) {
-	state, via, err := s.jobState(callCtx, id)
+func (s *Entry) serveState(callCtx context.Context, ctx *fasthttp.RequestCtx, from caller, id string) {
+	state, via, err := s.jobState(callCtx, from.access, id)
 	if err != nil {
 		s.failQuery(ctx, callState, id, via, err)
 		return
@@ -274,9 +285,9 @@
 	ctx.SetBody(platform.EncodeState(state))
 }
 
-func (s *Entry) serveCancel(callCtx context.Context, ctx *fasthttp.RequestCtx, id string) {
+func (s *Entry) serveCancel(callCtx context.Context, ctx *fasthttp.RequestCtx, from caller, id string) {
 	began := time.Now()
-	via, err := s.cancelJob(callCtx, id)
+	via, err := s.cancelJob(callCtx, from.access, id)
 	if err != nil {
 		s.failQuery(ctx, callCancel, id, via, err)
 		return
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -19,6 +19,7 @@
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/queue"
+	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 )
 
@@ -367,7 +368,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := e.site.submit(ctx, &copied)
+		err := e.site.submit(ctx, &copied, caller{})
 		cancel()
 		if err == nil && !e.killed.Load() {
 			return true
@@ -392,7 +393,7 @@
 		e := p.pickEntry("", seed+attempt)
 		if e != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-			_, err := e.site.cancelJob(ctx, id)
+			_, err := e.site.cancelJob(ctx, tenant.Access{}, id)
 			cancel()
 			if (err == nil || fault.IsKind(err, fault.NotExist)) && !e.killed.Load() {
 				p.checker.Cancelled(id)
@@ -411,7 +412,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	state, _, err := e.site.jobState(ctx, id)
+	state, _, err := e.site.jobState(ctx, tenant.Access{}, id)
 	switch {
 	case e.killed.Load():
 		return "", false
--- a/entry/site/partition_test.go
+++ b/entry/site/partition_test.go
@@ -25,7 +25,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), defaultCallerTimeout)
 	defer cancel()
 	began := time.Now()
-	err := p.entry(name).site.submit(ctx, job)
+	err := p.entry(name).site.submit(ctx, job, caller{})
 	return fault.As(err), time.Since(began)
 }
 
--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -8,6 +8,7 @@
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/peer"
+	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 )
 
@@ -41,6 +42,8 @@
 // query names the job or the queue that a request is about.
 type query struct {
 	Name string `json:"name"`
+	// Access is that of the caller, for a query about a job.
+	Access tenant.Access `json:"access,omitzero"`
 }
 
 // queryResponse is the response to a query or a submission; Known is false if the receiver doesn't lead or doesn't know
@@ -49,17 +52,19 @@
 	Known   bool       `json:"known"`
 	State   work.State `json:"state,omitempty"`
 	Pending int        `json:"pending,omitempty"`
+	// Foreign reports that the job belongs to a tenant whose jobs the caller may not see.
+	Foreign bool `json:"foreign,omitempty"`
 }
 
 func (s *Entry) methods() map[string]peer.Method {
 	methods := s.relayMethods()
 	maps.Copy(methods, map[string]peer.Method{
 		methodSubmitted: peer.NewMethod(func(ctx context.Context, in submission) queryResponse { return s.handleSubmitted(ctx, in) }),
-		methodState:     peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleState(ctx, in.Name) }),
-		methodCancel:    peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleCancel(ctx, in.Name) }),
+		methodState:     peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleState(ctx, in) }),
+		methodCancel:    peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handleCancel(ctx, in) }),
 		methodAccept:    peer.NewMethod(func(ctx context.Context, in submission) acceptResponse { return s.handleAccept(ctx, in) }),
 		methodOperator:  peer.NewMethod(func(ctx context.Context, _ query) operatorRowsResponse { return s.listOperatorRows(ctx) }),
-		methodPending:   peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handlePending(ctx, in.Name) }),
+		methodPending:   peer.NewMethod(func(ctx context.Context, in query) queryResponse { return s.handlePending(ctx, in) }),
 	})
 	return methods
 }
@@ -143,35 +148,45 @@
 	})
 }
 
-func (s *Entry) handleState(ctx context.Context, id string) queryResponse {
+func (s *Entry) handleState(ctx context.Context, in query) queryResponse {
 	return onLoop(ctx, s, func() queryResponse {
 		if s.scheduler == nil || !s.lease.Valid() {
 			return queryResponse{}
 		}
-		state, ok := s.scheduler.State(id)
+		state, ok := s.scheduler.State(in.Name)
+		if ok && !in.Access.Allows(s.scheduler.Tenant(in.Name)) {
+			return queryResponse{Known: true, Foreign: true}
+		}
 		return queryResponse{Known: ok, State: state}
 	})
 }
 
-func (s *Entry) handlePending(ctx context.Context, name string) queryResponse {
+func (s *Entry) handlePending(ctx context.Context, in query) queryResponse {
 	return onLoop(ctx, s, func() queryResponse {
 		if s.scheduler == nil || !s.scheduler.Ready() || !s.lease.Valid() {
 			return queryResponse{}
 		}
-		return queryResponse{Known: true, Pending: s.scheduler.PendingJobs(name)}
+		return queryResponse{Known: true, Pending: s.scheduler.PendingJobs(in.Name)}
 	})
 }
 
 // handleCancel cancels a job and waits until the cancellation is stored.
-func (s *Entry) handleCancel(ctx context.Context, id string) queryResponse {
+func (s *Entry) handleCancel(ctx context.Context, in query) queryResponse {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	done := make(chan struct{})
-	known := onLoop(ctx, s, func() bool {
-		return s.scheduler != nil && s.scheduler.Cancel(id, func() { close(done) })
+	response := onLoop(ctx, s, func() queryResponse {
+		if s.scheduler == nil {
+			return queryResponse{}
+		}
+		_, known := s.scheduler.State(in.Name)
+		if known && !in.Access.Allows(s.scheduler.Tenant(in.Name)) {
+			return queryResponse{Known: true, Foreign: true}
+		}
+		return queryResponse{Known: s.scheduler.Cancel(in.Name, func() { close(done) })}
 	})
-	if !known {
-		return queryResponse{}
+	if !response.Known || response.Foreign {
+		return response
 	}
 	select {
 	case <-done:
@@ -183,13 +198,13 @@
 
 // queryLeader sends a query to the leader, or runs local if this entry is the leader; it returns false without a usable
 // response.
-func (s *Entry) queryLeader(ctx context.Context, method string, in query, local func(context.Context, string) queryResponse) (queryResponse, bool) {
+func (s *Entry) queryLeader(ctx context.Context, method string, in query, local func(context.Context, query) queryResponse) (queryResponse, bool) {
 	record := s.lease.Leader()
 	if record.Holder == "" {
 		return queryResponse{}, false
 	}
 	if record.Holder == s.Settings.Name {
-		response := local(ctx, in.Name)
+		response := local(ctx, in)
 		return response, response.Known
 	}
 	var response queryResponse
@@ -217,12 +232,19 @@
 }
 
 // jobState returns a job's state and whether it comes from the leader or, if that has no response, from the store.
-func (s *Entry) jobState(ctx context.Context, id string) (work.State, string, error) {
-	r, ok := s.queryLeader(ctx, methodState, query{Name: id}, s.handleState)
+func (s *Entry) jobState(ctx context.Context, access tenant.Access, id string) (work.State, string, error) {
+	r, ok := s.queryLeader(ctx, methodState, query{Name: id, Access: access}, s.handleState)
+	if ok && r.Foreign {
+		return "", viaLeader, s.foreignJob(callState, access, id)
+	}
 	if ok {
 		return r.State, viaLeader, nil
 	}
 	state, err := s.jobs.Find(ctx, id)
+	if err == nil {
+		// The state is read first: a job that has a state has a row that tells its tenant, until it is forgotten.
+		err = s.checkStoredTenant(ctx, callState, access, id)
+	}
 	if err != nil && !fault.IsKind(err, fault.NotExist) {
 		return "", viaStore, fault.Wrap(fault.PlatformUnavailable, err, "state of job %s unavailable from the leader and the store", id).WithRetryAfter(retryAfter)
 	}
@@ -231,12 +253,18 @@
 
 // cancelJob cancels a job through the leader, or else by a row in the store that the leader reads later, and returns
 // which of them stored the cancellation.
-func (s *Entry) cancelJob(ctx context.Context, id string) (string, error) {
-	_, ok := s.queryLeader(ctx, methodCancel, query{Name: id}, s.handleCancel)
+func (s *Entry) cancelJob(ctx context.Context, access tenant.Access, id string) (string, error) {
+	r, ok := s.queryLeader(ctx, methodCancel, query{Name: id, Access: access}, s.handleCancel)
+	if ok && r.Foreign {
+		return viaLeader, s.foreignJob(callCancel, access, id)
+	}
 	if ok {
 		return viaLeader, nil
 	}
-	err := s.jobs.Cancel(ctx, id)
+	err := s.checkStoredTenant(ctx, callCancel, access, id)
+	if err == nil {
+		err = s.jobs.Cancel(ctx, id)
+	}
 	if err != nil && !fault.IsKind(err, fault.NotExist) {
 		return viaStore, fault.Wrap(fault.PlatformUnavailable, err, "failed to store the cancellation of job %s", id).WithRetryAfter(retryAfter)
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -117,7 +117,9 @@
 	// it never was. configUnreadable is set while the newest one can't be decoded.
 	configCheckedAt  atomic.Int64
 	configUnreadable bool
-	stopping         atomic.Bool
+	// keyTime is how long after the last check of the configuration keys are relied on, in nanoseconds, 0 for ever.
+	keyTime  atomic.Int64
+	stopping atomic.Bool
 	// lastReady is the readiness that was last reported to the load balancer.
 	lastReady atomic.Bool
 	// leading is 1 while this entry places tasks.
@@ -213,6 +215,7 @@
 	s.registry = prometheus.NewRegistry()
 	s.metrics = schedule.NewMetrics(s.registry)
 	s.requests = s.newRequestMetrics()
+	s.updateKeyTime()
 	s.waves = make(map[int64]provider.Wave)
 	s.operatorRows = make(map[string]table.Row)
 	s.loop = control.New(maxConcurrentCalls)
@@ -320,6 +323,7 @@
 	s.loop.Post(context.Background(), func() {
 		changed := s.Settings.Bounds != settings.Bounds || s.Settings.Limits != settings.Limits
 		s.Settings.Bounds, s.Settings.Limits, s.Settings.InstanceService = settings.Bounds, settings.Limits, settings.InstanceService
+		s.updateKeyTime()
 		if s.scheduler != nil {
 			s.scheduler.Bounds, s.scheduler.Limits = settings.Bounds, settings.InstanceService
 		}
--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -168,6 +168,8 @@
 	Digest  uint64
 	Ended   bool
 	Outcome *work.Outcome
+	// Tenant is the name of the tenant that submitted the job, empty for none and for rows of earlier versions.
+	Tenant string
 }
 
 // DecodeSubmission decodes a submission or its stub.
@@ -181,7 +183,10 @@
 	if err != nil {
 		return Submission{}, fault.Wrap(fault.Internal, err, "decode submission %s", row.Name)
 	}
-	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended, Outcome: decoded.Outcome}
+	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended, Outcome: decoded.Outcome, Tenant: decoded.Tenant}
+	if decoded.Outcome != nil {
+		s.Tenant = decoded.Outcome.Tenant
+	}
 	if !decoded.Ended {
 		job := decoded.Job
 		s.Job = &job
@@ -221,6 +226,22 @@
 	return work.Queued, err
 }
 
+// Tenant returns the name of the tenant that submitted a job, empty for none; it fails with kind NotExist if there is no such job.
+// The row of an ended job is read last, because it replaces the submission.
+func (s *JobStore) Tenant(ctx context.Context, id string) (string, error) {
+	for _, k := range []table.Key{SubmissionKey(id), EndedKey(id)} {
+		row, ok, err := s.readRow(ctx, k)
+		if err != nil {
+			return "", err
+		}
+		if ok {
+			submission, err := DecodeSubmission(row)
+			return submission.Tenant, err
+		}
+	}
+	return "", fault.New(fault.NotExist, "job %s", id)
+}
+
 // findReplaced returns the state of a job that has no submission. It is read after the submission, which is removed when
 // the outcome replaces it.
 func (s *JobStore) findReplaced(ctx context.Context, id string) (work.State, error) {
--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -183,7 +183,7 @@
 
 func resolveAll(batch []*pendingSubmission, version uint64, err error) {
 	for _, s := range batch {
-		s.result <- commitResult{stored: Submission{Job: s.job, Version: version, Digest: s.job.Digest}, err: err}
+		s.result <- commitResult{stored: Submission{Job: s.job, Version: version, Digest: s.job.Digest, Tenant: s.job.Tenant}, err: err}
 	}
 }
 
@@ -216,5 +216,8 @@
 	if stored.Digest != job.Digest {
 		return commitResult{err: fault.New(fault.KeyReused, "job %s was submitted with another body", job.ID)}
 	}
+	if stored.Tenant != "" && job.Tenant != "" && stored.Tenant != job.Tenant {
+		return commitResult{err: fault.New(fault.KeyReused, "job %s was submitted by another tenant", job.ID)}
+	}
 	return commitResult{stored: stored}
 }
--- a/keel/schedule/api.go
+++ b/keel/schedule/api.go
@@ -24,6 +24,15 @@
 	return j.state(), true
 }
 
+// Tenant returns the name of the tenant that submitted the job, empty if it has none or the leader doesn't know the job.
+func (s *Scheduler) Tenant(id string) string {
+	j := s.jobs[id]
+	if j == nil {
+		return ""
+	}
+	return j.Tenant
+}
+
 // Cancel cancels the job and calls done on the control loop once that is stored. It returns false if the leader doesn't
 // know the job.
 func (s *Scheduler) Cancel(id string, done func()) bool {
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -42,7 +42,7 @@
 // endJob sets the job's outcome, stores it and stops the job's runs.
 func (s *Scheduler) endJob(j *job, state work.State, reason string) {
 	j.outcome = &work.Outcome{
-		State: state, Queue: j.Queue, Digest: j.Digest, Ended: s.Wall().Milliseconds(), Reason: reason,
+		State: state, Queue: j.Queue, Tenant: j.Tenant, Digest: j.Digest, Ended: s.Wall().Milliseconds(), Reason: reason,
 	}
 	j.waiting = 0
 	s.updatePending(j)
@@ -71,14 +71,14 @@
 	if s.jobs[id] != nil {
 		return
 	}
-	s.jobs[id] = &job{Job: &work.Job{ID: id, Queue: outcome.Queue, Digest: outcome.Digest}, outcome: outcome, stored: true}
+	s.jobs[id] = &job{Job: &work.Job{ID: id, Queue: outcome.Queue, Tenant: outcome.Tenant, Digest: outcome.Digest}, outcome: outcome, stored: true}
 }
 
 // release drops all of an ended job whose outcome is stored but what callers may still ask for. Its runs that are being stopped
 // keep their tasks.
 func (j *job) release() {
 	*j = job{
-		Job: &work.Job{ID: j.ID, Queue: j.Queue, Digest: j.Digest}, outcome: j.outcome, outcomeChange: j.outcomeChange, stored: j.stored,
+		Job: &work.Job{ID: j.ID, Queue: j.Queue, Tenant: j.Tenant, Digest: j.Digest}, outcome: j.outcome, outcomeChange: j.outcomeChange, stored: j.stored,
 		lastChange: j.lastChange, storedChange: j.storedChange, dirty: j.dirty, dirtySince: j.dirtySince, version: j.version, rows: j.rows,
 		maybeIn: j.maybeIn,
 	}
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -24,6 +24,8 @@
 	Digest uint64 `json:"digest"`
 	// Ended is the wall-clock time in milliseconds since 1970 at which the job ended.
 	Ended int64 `json:"ended"`
+	// Tenant is the name of the tenant that submitted the job, empty for none.
+	Tenant string `json:"tenant,omitempty"`
 	// Reason is why the job failed, empty for other states.
 	Reason string `json:"reason,omitempty"`
 }
