--- a/entry/site/cluster_test.go
+++ b/entry/site/cluster_test.go
@@ -48,6 +48,8 @@
 	// removed holds the names of the queues that the configuration lacks.
 	removed map[string]bool
 	pools   []queue.Pool
+	// tenants are the tenants of the configuration, nil for a configuration without.
+	tenants []platformtest.Tenant
 	version int
 	group   sync.WaitGroup
 	// relayMinWorkers is the entries' RelayMinWorkers.
@@ -124,7 +126,7 @@
 	defer c.mu.Unlock()
 	c.version++
 	queues := slices.DeleteFunc(slices.Clone(c.queues), func(q queue.Queue) bool { return c.removed[q.Name] })
-	row, err := platformtest.Config(c.version, queues, c.pools)
+	row, err := platformtest.Config(c.version, queues, c.pools, c.tenants)
 	assert.NilError(c.t, err)
 	c.store.Put(row)
 }
