--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -68,6 +68,9 @@
 		return callOther
 	}
 	from, err := s.authorise(checkedConfig{config, current}, q, &ctx.Request.Header)
+	if config.Tenants != nil && !q.Public {
+		defer func() { s.tenants.observe(from.tenant, ctx.Response.StatusCode()) }()
+	}
 	if err != nil {
 		writeError(ctx, err)
 		return callOther
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -125,6 +125,7 @@
 	// leading is 1 while this entry places tasks.
 	leading  atomic.Int64
 	requests *requestMetrics
+	tenants  *tenantMetrics
 	// lastStoreResponse is when the store last responded to this entry, in nanoseconds of Now.
 	lastStoreResponse atomic.Int64
 	// lastLeaderResponse is when the leader last returned the operator's rows while the store was unavailable, in
@@ -215,6 +216,7 @@
 	s.registry = prometheus.NewRegistry()
 	s.metrics = schedule.NewMetrics(s.registry)
 	s.requests = s.newRequestMetrics()
+	s.tenants = newTenantMetrics(s.registry)
 	s.updateKeyTime()
 	s.waves = make(map[int64]provider.Wave)
 	s.operatorRows = make(map[string]table.Row)
--- a/entry/site/tenants.go
+++ b/entry/site/tenants.go
@@ -49,7 +49,7 @@
 		s.Log.Write(event.CallerRefused, event.Fields{
 			"queue": q.Name, "tenant": c.access.Tenant, "key": keyName(key, sent), "kind": fault.As(err).Kind().String(), "version": config.Version,
 		})
-		return caller{}, err
+		return caller{tenant: c.access.Tenant}, err
 	}
 	c.checked, c.tenant = true, known.Name
 	return c, nil
--- a/entry/site/tenants_test.go
+++ b/entry/site/tenants_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -410,3 +411,28 @@
 		}
 	})
 }
+
+// Guards against metrics without bound: a tenant beyond the limit counts among the others.
+func TestTenantMetricsAreBounded(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	m := newTenantMetrics(registry)
+	for range 2 {
+		for i := range maxTenantLabels + 50 {
+			m.observe(fmt.Sprint("t", i), fasthttp.StatusOK)
+		}
+		m.observe("", fasthttp.StatusUnauthorized)
+		m.observe("t0", fasthttp.StatusServiceUnavailable)
+	}
+	counts := make(map[string]float64)
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	for _, metric := range families[0].GetMetric() {
+		labels := metric.GetLabel()
+		counts[labels[1].GetValue()+" "+labels[0].GetValue()] = metric.GetCounter().GetValue()
+	}
+	assert.Equal(t, len(counts), maxTenantLabels+3)
+	assert.Equal(t, counts["other accepted"], 100.0)
+	assert.Equal(t, counts["none unauthorised"], 2.0)
+	assert.Equal(t, counts["t0 refused"], 2.0)
+	assert.Equal(t, counts["t0 accepted"], 2.0)
+}
