--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -19,7 +19,6 @@
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/queue"
-	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 )
 
@@ -49,6 +48,8 @@
 	Relayed bool `json:"relayed"`
 	// Pools is the number of instances of each pool in each data centre; the pool named spare is the spare pool.
 	Pools map[string]int `json:"pools"`
+	// Tenants is the number of tenants, which submit the jobs by turns; 0 for a configuration without tenants.
+	Tenants int `json:"tenants"`
 	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
 	ListedEnds int        `json:"listed_ends"`
 	Seeds      []uint64   `json:"seeds"`
@@ -136,7 +137,8 @@
 // dayRun is one run of a day with one seed.
 type dayRun struct {
 	*testCluster
-	day *day
+	day        *day
+	dayTenants dayTenants
 	// faultFree counts the jobs submitted in fault-free times, inTime and late those of them that have ended.
 	inTime, late, faultFree int
 }
@@ -208,6 +210,7 @@
 			p.addEntry(fmt.Sprintf("%s-%d", dataCentre, i+1), dataCentre, true)
 		}
 	}
+	p.setTenants()
 	p.putConfig()
 }
 
@@ -360,7 +363,13 @@
 			time.Sleep(400 * time.Millisecond)
 			continue
 		}
+		from, ok := p.authoriseJob(e, job)
+		if !ok {
+			time.Sleep(400 * time.Millisecond)
+			continue
+		}
 		copied := *job
+		copied.Tenant = from.tenant
 		copied.Terms = e.terms(job.Queue)
 		if copied.Terms == nil {
 			// The entry's configuration lacks the queue.
@@ -368,7 +377,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := e.site.submit(ctx, &copied, caller{})
+		err := e.site.submit(ctx, &copied, from)
 		cancel()
 		if err == nil && !e.killed.Load() {
 			return true
@@ -393,7 +402,7 @@
 		e := p.pickEntry("", seed+attempt)
 		if e != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-			_, err := e.site.cancelJob(ctx, tenant.Access{}, id)
+			_, err := e.site.cancelJob(ctx, p.accessTo(id, false), id)
 			cancel()
 			if (err == nil || fault.IsKind(err, fault.NotExist)) && !e.killed.Load() {
 				p.checker.Cancelled(id)
@@ -412,7 +421,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	state, _, err := e.site.jobState(ctx, tenant.Access{}, id)
+	p.checkForeign(ctx, e, id)
+	state, _, err := e.site.jobState(ctx, p.accessTo(id, false), id)
 	switch {
 	case e.killed.Load():
 		return "", false
@@ -453,6 +463,7 @@
 		"instance_service":   p.instanceServiceOutage,
 		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
+		"withdraw":           p.withdrawKey,
 		"remove_queue": func(_ *dayFault, target string, length time.Duration) {
 			p.setRemoved("q-"+target, true)
 			time.Sleep(length)
