--- a/entry/site/tenants_test.go
+++ b/entry/site/tenants_test.go
@@ -436,3 +436,40 @@
 	assert.Equal(t, counts["t0 refused"], 2.0)
 	assert.Equal(t, counts["t0 accepted"], 2.0)
 }
+
+// Guards against a call by a withdrawn key that is served by an entry that the store turns away while it does so with the
+// leader as well, until another entry leads and beyond.
+func TestKeysWhileLeaderHasNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := partitionedDay()
+		d.Entries = 2
+		p := &dayRun{testCluster: newTestCluster(t, 1), day: d}
+		defer p.shutdown()
+		p.build()
+		p.setKeys([]string{keyA, otherA}, nil)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, p.send("a-1", keyA, fasthttp.MethodPost, "q-p", jobID(1), endless).status, 200)
+		leader, other := p.otherThanLeader()
+		outage := &emulator.StoreFault{Outage: emulator.Busy, Callers: []string{leader, other}}
+		p.store.Inject(outage)
+		time.Sleep(100 * time.Millisecond)
+		p.setKeys([]string{otherA}, []string{keyB})
+		time.Sleep(2 * time.Second)
+		for i := range 60 {
+			for _, entry := range p.entryNames() {
+				assert.Assert(t, p.post(entry, keyA, jobID(100+i)).status != 200, entry)
+				got := p.get(entry, keyA, jobID(1))
+				assert.Assert(t, got.status == 401 || got.status == 503, "%s: %d %s", entry, got.status, got.body)
+				got = p.post(entry, keyB, jobID(1000+i))
+				assert.Assert(t, got.status == 200 || got.status == 503, "%s: %d %s", entry, got.status, got.body)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		p.store.Clear(outage)
+		time.Sleep(2 * time.Second)
+		for _, entry := range p.entryNames() {
+			assert.Equal(t, p.post(entry, keyA, jobID(2)).status, 401)
+			assert.Equal(t, p.post(entry, keyB, jobID(3)).status, 200)
+		}
+	})
+}
