The leader keeps its lease with two of five rows

The holder can't renew, no other entry can acquire, and nothing is placed. No takeover could end either: it needs all guards and all partitions of the submissions. So the lease now has five rows: four acquire it, two keep it. Candidates claim one row first, so that those of one rank don't take rows from each other.

Entries of earlier versions acquire it with two of the first three rows. They find a lease of 15 s there, and the holder doesn't count on it for longer than that allows, so that both versions may run beside each other in one upgrade.

--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -103,6 +103,8 @@
 	SlowFactor int      `json:"slow"`
 	// Capacity is the share of their capacity that workers report while it is less than usual.
 	Capacity float64 `json:"capacity"`
+	// Harmless is set for a fault of which callers must notice nothing.
+	Harmless bool `json:"harmless"`
 }
 
 func TestDays(t *testing.T) {
@@ -148,10 +150,13 @@
 	maxJobTime = 3 * time.Second
 )
 
-// isFaultFree reports whether no fault affects a job submitted at the time: none begins within maxJobTime after it, and
+// isFaultFree reports whether no fault affects a job submitted at the time: none that isn't harmless begins within maxJobTime after it, and
 // none ended within recoveryTime before it.
 func (d *day) isFaultFree(at time.Duration) bool {
 	for _, f := range d.Faults {
+		if f.Harmless {
+			continue
+		}
 		from := time.Duration(f.At) - maxJobTime
 		to := time.Duration(f.At) + time.Duration(f.For) + recoveryTime
 		if at > from && at < to {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -279,7 +279,7 @@
 		return
 	}
 	if !previous.Released {
-		s.scheduler.OrdersFrom = now + minGap - time.Duration(previous.LeaseMillis)*time.Millisecond
+		s.scheduler.OrdersFrom = now + minGap - previous.Duration()
 		return
 	}
 	for instance, age := range previous.RecentOrders {
--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -62,7 +62,7 @@
 )
 
 var scheduleEvents = []Definition{
-	{LeaderChanged, "leader_changed", logrus.InfoLevel, "a quorum of the lease's rows names another holder or epoch", []string{"holder", "epoch", "before"}},
+	{LeaderChanged, "leader_changed", logrus.InfoLevel, "the rows of the lease name another holder or epoch", []string{"holder", "epoch", "before"}},
 	{LeaseRowUnreadable, "lease_row_unreadable", logrus.ErrorLevel, "a row of the lease can't be decoded or encoded", []string{"reason", "version"}},
 	{LeaderLost, "leader_lost", logrus.WarnLevel, "this entry stands down as leader and places no more tasks", []string{"epoch", "reason"}},
 	{LeaderReady, "leader_ready", logrus.InfoLevel, "this entry has loaded the ledger as leader and starts to place tasks, with the version of its configuration (0 if it has none yet) and the number of open jobs whose queue it doesn't know", []string{"epoch", "jobs", "workers", "unheard", "config", "unrouted", "took_ms"}},
--- a/keel/leader/lease.go
+++ b/keel/leader/lease.go
@@ -20,6 +20,9 @@
 	minLease = 1300 * time.Millisecond
 	// maxLease is the lease duration while the store is slow.
 	maxLease = 4 * time.Second
+	// oldLease is the lease duration for entries of earlier versions, which acquire it with fewer rows, and so the longest time
+	// for which a holder keeps it with keepQuorum rows.
+	oldLease = 15 * time.Second
 	// latencyFactor is the number of store latencies by which the lease is longer than minLease.
 	latencyFactor = 3
 	// latencyDecay gives the decay of the latency that determines the lease: by 1/latencyDecay with each response. So the
@@ -57,6 +60,8 @@
 	repeatDelay = 250 * time.Millisecond
 	// maxRepeatDoublings limits the doubling of that delay.
 	maxRepeatDoublings = 4
+	// keptLogInterval is the minimum time between two log lines about the rows that the holder keeps.
+	keptLogInterval = time.Second
 	// readTimeout is the timeout for reading one row.
 	readTimeout = time.Second
 	// releasePollInterval is the time between checks whether a renewal in flight has ended, so that the lease can be
@@ -75,8 +80,10 @@
 	Attempted int64 `json:"attempted,omitempty"`
 	// Renewals rises with each renewal and with the release.
 	Renewals int64 `json:"beat"`
-	// LeaseMillis is the time from a renewal to the end of the lease.
+	// LeaseMillis is the time from a renewal to the end of the lease for entries that acquire it with oldQuorum of the first
+	// rows, and RowMillis for those that need claimQuorum of all; 0 if the holder is of an earlier version.
 	LeaseMillis int64 `json:"lease_ms"`
+	RowMillis   int64 `json:"row_ms,omitempty"`
 	// Released reports that the holder released the lease before its end.
 	Released bool `json:"released,omitempty"`
 	// RecentOrders is, by instance, the time in milliseconds from the holder's last order to the release.
@@ -108,8 +115,11 @@
 	lastAttempt time.Duration
 	// held is the record under which this entry holds the epoch, nil if it doesn't; the lease may have expired.
 	held *Record
-	// pendingWrites counts the writes in flight of an attempt to acquire the lease.
-	pendingWrites int
+	// attempt is the attempt in progress to acquire the lease, nil if there is none.
+	attempt *attempt
+	// keptRows is the number of rows that this entry kept when that was last logged, at keptLoggedAt.
+	keptRows     int
+	keptLoggedAt time.Duration
 	// promisedUntil is the latest end of the leases that this entry has written.
 	promisedUntil time.Duration
 	// failedAttempts counts the attempts without a quorum since this entry last held the lease.
@@ -232,8 +242,8 @@
 	err  error
 }
 
-// resync reads the rows until a quorum of them is read and returns the version from which the feed continues, which is
-// the given one if there is no quorum. The other rows are read in the background: the lease doesn't need them, and their
+// resync reads the rows until keepQuorum of them are read and returns the version from which the feed continues, which is
+// the given one if so many can't be read. The other rows are read in the background: the lease doesn't need them, and their
 // partitions may be unavailable for long.
 func (l *Lease) resync(ctx context.Context, version uint64) uint64 {
 	results := make(chan rowPage, rowCount)
@@ -255,11 +265,11 @@
 		if next == 0 || result.page.Version < next {
 			next = result.page.Version
 		}
-		if len(read) >= quorum {
+		if len(read) >= keepQuorum {
 			break
 		}
 	}
-	if len(read) < quorum {
+	if len(read) < keepQuorum {
 		sleep(ctx, feedRetryDelay)
 		return version
 	}
@@ -287,30 +297,32 @@
 		l.Log.Write(event.LeaseRowUnreadable, event.Fields{"reason": err.Error(), "version": row.Version})
 		return
 	}
-	if changed && l.holds(r) {
+	if changed && r.record.Holder == l.Name {
 		r.extendFromSent()
 		l.updateValidity()
 	}
 	l.updateLeader()
+	l.checkAttempt()
 }
 
 // holds reports whether the row names this entry under the epoch that it holds.
 func (l *Lease) holds(r *leaseRow) bool {
-	return l.held != nil && r.record.Holder == l.Name && r.record.Epoch == l.held.Epoch
+	return l.held != nil && r.isOf(*l.held)
 }
 
-// updateLeader determines the holder that a quorum of the rows names, and stands down if another entry holds this or a
+// updateLeader determines the holder that oldQuorum of the first rows name, as they do for holders of each version, and stands down if another entry holds this or a
 // later epoch.
 func (l *Lease) updateLeader() {
 	var holder *Record
-	for _, r := range l.rows {
+	first := l.rows[:oldRowCount]
+	for _, r := range first {
 		matching := 0
-		for _, other := range l.rows {
-			if r.record.Holder != "" && r.record.Holder == other.record.Holder && r.record.Epoch == other.record.Epoch {
+		for _, other := range first {
+			if r.record.Holder != "" && other.isOf(r.record) {
 				matching++
 			}
 		}
-		if matching >= quorum {
+		if matching >= oldQuorum {
 			holder = &r.record
 			break
 		}
--- a/keel/leader/lease_test.go
+++ b/keel/leader/lease_test.go
@@ -21,6 +21,9 @@
 	"samphirekeel.example/keel/table"
 )
 
+// leasePartitions lists the partitions of the lease's rows.
+var leasePartitions = []string{"lease0", "lease1", "lease2", "lease3", "lease4"}
+
 // testbed runs candidates for the lease on an emulated store, whose partitions can be made unavailable.
 type testbed struct {
 	t     *testing.T
@@ -28,9 +31,13 @@
 	began time.Time
 
 	mu sync.Mutex
-	// unavailable lists the partitions that reject reads and transactions.
-	unavailable []string
-	leases      map[string]*candidate
+	// unavailable lists the partitions that reject reads and transactions, and unavailableTo those that reject them of one
+	// candidate.
+	unavailable   []string
+	unavailableTo map[string][]string
+	leases        map[string]*candidate
+	// epoch is the latest epoch under which a candidate held the lease.
+	epoch int64
 }
 
 // candidate is one entry that may hold the lease.
@@ -60,7 +67,7 @@
 	refused := func(partition string) error {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		if slices.Contains(b.unavailable, partition) {
+		if slices.Contains(b.unavailable, partition) || slices.Contains(b.unavailableTo[name], partition) {
 			return fault.New(fault.PlatformUnavailable, "partition %s unavailable", partition).WithOutcome(fault.NotRun)
 		}
 		return nil
@@ -89,6 +96,16 @@
 	b.unavailable = partitions
 }
 
+// setUnavailableTo replaces the list of partitions that are unavailable to one candidate.
+func (b *testbed) setUnavailableTo(name string, partitions ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.unavailableTo == nil {
+		b.unavailableTo = make(map[string][]string)
+	}
+	b.unavailableTo[name] = partitions
+}
+
 // start starts a candidate.
 func (b *testbed) start(name string, rank int) *leader.Lease {
 	ctx, cancel := context.WithCancel(b.t.Context())
@@ -113,7 +130,8 @@
 	return l
 }
 
-// holder returns the name of the candidate that holds the lease, empty if none does. It fails the test if several do.
+// holder returns the name of the candidate that holds the lease, empty if none does. It fails the test if several do, or if
+// the epoch has gone down.
 func (b *testbed) holder() string {
 	holder := ""
 	for name, c := range b.leases {
@@ -122,6 +140,9 @@
 		}
 		assert.Assert(b.t, holder == "", "%s and %s hold the lease", holder, name)
 		holder = name
+		epoch := c.lease.Leader().Epoch
+		assert.Assert(b.t, epoch >= b.epoch, "%s holds epoch %d after %d", name, epoch, b.epoch)
+		b.epoch = epoch
 	}
 	return holder
 }
@@ -136,7 +157,7 @@
 // Guards against a lease that nobody can acquire although a quorum of its rows is available. The change feed no longer
 // has the changes since the candidate's last poll, or since version 0 for one that starts, and one row can't be read.
 func TestLeaseAcquiredWithoutOneRow(t *testing.T) {
-	for _, partition := range []string{"lease0", "lease1", "lease2"} {
+	for _, partition := range leasePartitions {
 		t.Run(partition, func(t *testing.T) {
 			withTestbed(t, func(b *testbed) {
 				b.start("first", 0)
--- a/keel/leader/row.go
+++ b/keel/leader/row.go
@@ -14,10 +14,15 @@
 )
 
 const (
-	// rowCount is the number of rows of the lease, and quorum how many of them must name an entry for it to hold the
-	// lease.
-	rowCount = 3
-	quorum   = rowCount/2 + 1
+	// rowCount is the number of rows of the lease. An entry acquires the lease with claimQuorum of them and keeps it with
+	// keepQuorum, so that each claim needs a row that a holder keeps: claimQuorum + keepQuorum > rowCount.
+	rowCount    = 5
+	claimQuorum = 4
+	keepQuorum  = 2
+	// Earlier versions of the program know the first oldRowCount rows only. They acquire and keep the lease with oldQuorum of
+	// them, of which each claim has as many.
+	oldRowCount = 3
+	oldQuorum   = 2
 )
 
 // leaseRow is the last observed state of one row of the lease.
@@ -35,8 +40,9 @@
 	sentAt   time.Duration
 	// sent holds when each of this entry's recent records was sent. Any of them may be found in the store later.
 	sent map[recordID]time.Duration
-	// validUntil is when this entry's renewal of the row expires, 0 if it doesn't hold the row.
-	validUntil time.Duration
+	// validUntil is when this entry's renewal of the row expires for entries of this version, and oldUntil for those of earlier
+	// ones; 0 if it doesn't hold the row.
+	validUntil, oldUntil time.Duration
 }
 
 // recordID identifies a record that this entry has written.
@@ -61,7 +67,7 @@
 	if r.version == 0 || r.record.Released || r.record.Holder == name {
 		return r.changedAt
 	}
-	return max(r.changedAt+time.Duration(r.record.LeaseMillis)*time.Millisecond, respondingSince+recoveryGrace)
+	return max(r.changedAt+r.record.Duration(), respondingSince+recoveryGrace)
 }
 
 // observe applies the row read from the store and reports whether its version is newer than the known one.
@@ -76,7 +82,7 @@
 		return false, fault.Wrap(fault.Internal, err, "decode row of the lease")
 	}
 	if r.record.Holder != record.Holder || r.record.Epoch != record.Epoch {
-		r.validUntil = 0
+		r.validUntil, r.oldUntil = 0, 0
 	}
 	r.version, r.record, r.changedAt = row.Version, record, now
 	return true, nil
@@ -86,15 +92,31 @@
 // since the store may have applied it at once.
 func (r *leaseRow) extendFromSent() {
 	sent, ok := r.sent[recordID{r.record.Epoch, r.record.Renewals}]
-	if ok {
-		r.validUntil = max(r.validUntil, r.record.validUntil(sent))
+	if ok && !r.record.Released {
+		r.extend(sent)
 	}
 }
 
-// validUntil returns the time until which the holder may act on the record if it was sent at the given time.
-func (r Record) validUntil(sent time.Duration) time.Duration {
-	lease := time.Duration(r.LeaseMillis) * time.Millisecond
-	return sent + lease - lease/marginDivisor
+// extend extends the validity by the row's record, which was sent at the given time.
+func (r *leaseRow) extend(sent time.Duration) {
+	r.validUntil = max(r.validUntil, sent+usable(r.record.Duration()))
+	r.oldUntil = max(r.oldUntil, sent+usable(time.Duration(r.record.LeaseMillis)*time.Millisecond))
+}
+
+// usable returns the part of a lease that its holder uses.
+func usable(lease time.Duration) time.Duration { return lease - lease/marginDivisor }
+
+// Duration returns the time from a renewal to the end of the lease.
+func (r Record) Duration() time.Duration {
+	if r.RowMillis != 0 {
+		return time.Duration(r.RowMillis) * time.Millisecond
+	}
+	return time.Duration(r.LeaseMillis) * time.Millisecond
+}
+
+// isOf reports whether the row has the record of the same holder and epoch.
+func (r *leaseRow) isOf(record Record) bool {
+	return r.record.Holder == record.Holder && r.record.Epoch == record.Epoch
 }
 
 // recordSent records that a record is being sent, and forgets those that can no longer be valid.
@@ -127,7 +149,7 @@
 		Writes:     []table.Write{{Key: r.key(), Value: value}},
 	}
 	r.recordSent(record, sent)
-	l.promisedUntil = max(l.promisedUntil, sent+time.Duration(record.LeaseMillis)*time.Millisecond)
+	l.promisedUntil = max(l.promisedUntil, sent+record.Duration())
 	control.Call(l.Loop, timeout,
 		func(ctx context.Context) (table.Result, error) { return l.Store.Commit(ctx, txn) },
 		func(result table.Result, err error) {
@@ -146,8 +168,8 @@
 		if result.Version >= r.version {
 			r.version, r.record, r.changedAt = result.Version, record, now
 		}
-		if r.record.Holder == record.Holder && r.record.Epoch == record.Epoch {
-			r.validUntil = max(r.validUntil, record.validUntil(sent))
+		if r.isOf(record) && !r.record.Released {
+			r.extend(sent)
 		}
 		return true
 	}
@@ -157,7 +179,7 @@
 	}
 	l.responseLatency = now - sent
 	if len(result.Current) == 0 {
-		r.version, r.record, r.validUntil = 0, Record{Epoch: r.record.Epoch}, 0
+		r.version, r.record, r.validUntil, r.oldUntil = 0, Record{Epoch: r.record.Epoch}, 0, 0
 		return false
 	}
 	l.observeRow(r, result.Current[0])
