--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -40,6 +40,7 @@
 		{"Duties and platform (900)", dutyEvents},
 		{"Leader, tasks and workers (1000)", scheduleEvents},
 		{"Tenants (1100)", tenantEvents},
+		{"Lease of the leader (1250)", leaseEvents},
 	}
 }
 
