--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -20,6 +20,10 @@
 	DisruptionTime time.Duration
 	// QueuePools maps the name of each queue to that of its pool, for Watch.
 	QueuePools map[string]string
+	// CapOverage is the fraction by which a tenant's running tasks may exceed its cap. ConfigTime is the time for which an earlier
+	// version of the tenants may be in force after the next one.
+	CapOverage float64
+	ConfigTime time.Duration
 
 	mu         sync.Mutex
 	fleet      *Fleet
@@ -31,6 +35,7 @@
 	// activeFaults counts the faults in progress that FaultBegan recorded; disturbedAt is the end of the last one.
 	activeFaults int
 	disturbedAt  time.Time
+	use          tenantUse
 }
 
 // jobRecord is the true state of one job.
@@ -212,6 +217,7 @@
 	step := &j.job.Steps[o.Task.Step]
 	task := j.task(o.Task)
 	c.checkStart(w, j, task, step, o)
+	c.addUse(j, step, o.Task)
 	task.running[&run{task: o.Task, number: o.Run}] = w
 	task.step, task.startedAt = step, time.Now()
 	return step, c.taskDuration(w, j, step, o.Task)
--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -89,6 +89,7 @@
 	for active, host := range task.running {
 		if host == w && active.number == r.number {
 			delete(task.running, active)
+			c.removeUse(j, r.step)
 		}
 	}
 	task.endedAt = time.Now()
--- a/keel/job/quota.go
+++ b/keel/job/quota.go
@@ -4,6 +4,7 @@
 	"samphirekeel.example/keel/platform"
 	"samphirekeel.example/keel/rowset"
 	"samphirekeel.example/keel/settings"
+	"samphirekeel.example/keel/tenant"
 )
 
 // ServiceUsage is the capacity that a service's jobs hold in its pool and the service's quota there. A service may
@@ -14,21 +15,10 @@
 }
 
 // DominantShare returns the highest used fraction of the quota over all dimensions; above 1 the service exceeds its
-// quota.
+// quota. Without a quota in a dimension, all use counts as beyond it.
 func (u ServiceUsage) DominantShare() float64 {
-	return max(
-		fraction(u.Used.MilliCores, u.Quota.MilliCores),
-		fraction(u.Used.MemoryMB, u.Quota.MemoryMB),
-		fraction(u.Used.Accelerators, u.Quota.Accelerators),
-	)
-}
-
-// fraction returns used divided by quota; without a quota, all use counts as beyond it.
-func fraction(used, quota int64) float64 {
-	if used <= 0 {
-		return 0
-	}
-	return float64(used) / float64(max(quota, 1))
+	quota := tenant.Cap{MilliCores: max(u.Quota.MilliCores, 1), MemoryMB: max(u.Quota.MemoryMB, 1), Accelerators: max(u.Quota.Accelerators, 1)}
+	return quota.DominantShare(tenant.Cap(u.Used))
 }
 
 // fairQueue yields queued jobs, the service with the lowest dominant share first and in order within a service.
--- a/keel/schedule/arrivals.go
+++ b/keel/schedule/arrivals.go
@@ -76,7 +76,8 @@
 
 // countArrival adds a new job's work to the arrivals of its pool.
 func (s *Scheduler) countArrival(j *job) {
-	if j.pool == nil || j.HasDueTimes() {
+	if j.pool == nil || j.HasDueTimes() || j.beyond && j.tenant.capped.Len() > 0 {
+		// What a tenant at its cap sends beyond what it is owed brings in no instances.
 		return
 	}
 	sum := 0.0
--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -9,14 +9,21 @@
 	"time"
 
 	"github.com/google/btree"
+
+	"samphirekeel.example/keel/tenant"
 )
 
 // The service classes, in the order in which they are served.
 const (
 	classLongRunning = iota
 	classOnTime
-	// classLate is the class of jobs that can no longer meet their objective.
+	// classBeyond is the class of jobs that can meet their objective and are beyond what their tenant is owed.
+	classBeyond
+	// classLate is the class of jobs that can no longer meet their objective, classLateBeyond of those beyond what is owed.
 	classLate
+	classLateBeyond
+	// classCount is the number of classes.
+	classCount
 )
 
 const (
@@ -41,6 +48,9 @@
 	byHome  map[string]*btree.BTreeG[rank]
 	// held holds, by data centre, the jobs of which no task may start before a worker there is fenced, in scheduling order.
 	held map[string]*btree.BTreeG[rank]
+	// capped holds the jobs that wait for room under their tenant's cap, in scheduling order.
+	capped *btree.BTreeG[rank]
+	caps   *caps
 	// holderOf returns the unheard worker that holds a job, or nil; isHolding reports whether one of the data centre holds
 	// jobs.
 	holderOf  func(*job) *workerState
@@ -54,7 +64,7 @@
 	tasks int
 	// cursors holds, by service class, where the next pass continues to examine the jobs behind those that each pass examines
 	// first.
-	cursors [classLate + 1]rank
+	cursors [classCount]rank
 	// reportCursor is where the next report of waiting tasks continues to examine the jobs behind the first ones.
 	reportCursor rank
 }
@@ -81,20 +91,22 @@
 
 // backlogEntry is what a backlog counts for a job.
 type backlogEntry struct {
-	// waiting, held and deadline are the job's places in the trees, without a job if it has none.
-	waiting, held, deadline rank
+	// waiting, held, capped and deadline are the job's places in the trees, without a job if it has none.
+	waiting, held, capped, deadline rank
 	// heldIn is the data centre whose workers hold the job.
 	heldIn string
 	work   openWork
 	tasks  int
 	onTime bool
+	// unseen is what unheard workers may be running of the job.
+	unseen tenant.Cap
 }
 
 func newBacklog(s *Scheduler) backlog {
 	return backlog{
 		held: make(map[string]*btree.BTreeG[rank]), holderOf: s.holderOf, isHolding: s.isHolding,
 		waiting: btree.NewG(backlogDegree, rank.before), byHome: make(map[string]*btree.BTreeG[rank]),
-		deadlines: btree.NewG(backlogDegree, rank.before),
+		deadlines: btree.NewG(backlogDegree, rank.before), capped: btree.NewG(backlogDegree, rank.before), caps: &s.caps,
 	}
 }
 
@@ -142,26 +154,36 @@
 	lateAt := j.lateAt(remaining)
 	class := j.serviceClass(now, lateAt)
 	e := &j.entry
-	e.work, e.tasks, e.onTime = j.openWork(mayRun), j.waiting, class < classLate
+	// Late jobs are ordered by arrival, the others by the slack to their objective.
+	place := rank{class: class, key: j.objective() - remaining, id: j.ID, job: j}
+	if class >= classLate {
+		place.key = j.arrived
+	}
+	waits := j.waiting > 0 || j.maySpeculate
+	holder := b.holderOf(j)
+	held := holder != nil && !j.maySpeculateNow()
+	capped := waits && !held && b.caps.holdsBack(place)
+	e.work, e.tasks, e.onTime = j.openWork(mayRun, !capped), j.waiting, class <= classOnTime
 	b.total.add(e.work)
 	b.tasks += e.tasks
 	if e.onTime {
 		b.onTime.add(e.work)
 	}
-	if class == classOnTime {
+	if class == classOnTime || class == classBeyond {
 		e.deadline = rank{key: lateAt, id: j.ID, job: j}
 		b.deadlines.ReplaceOrInsert(e.deadline)
 	}
-	if j.waiting == 0 && !j.maySpeculate {
+	if !waits {
 		return
 	}
-	// Late jobs are ordered by arrival, the others by the slack to their objective.
-	place := rank{class: class, key: j.objective() - remaining, id: j.ID, job: j}
-	if class == classLate {
-		place.key = j.arrived
+	if holder != nil {
+		b.countUnseen(j)
 	}
-	holder := b.holderOf(j)
-	if holder != nil && !j.maySpeculateNow() {
+	if capped {
+		b.addCapped(place)
+		return
+	}
+	if held {
 		b.addHeld(place, holder.DataCentre)
 		return
 	}
@@ -193,6 +215,8 @@
 		}
 	}
 	b.removeHeld(j)
+	b.removeCapped(j)
+	b.removeUnseen(j)
 	*e = backlogEntry{}
 }
 
@@ -216,13 +240,18 @@
 	return j.objective() - time.Duration((1+estimateError)*float64(remaining)) - outcomeDelay
 }
 
-// serviceClass ranks long-running jobs first, then jobs that can still meet their objective, then late jobs.
+// serviceClass ranks long-running jobs first, then jobs that can still meet their objective, then late jobs, and in both cases
+// those behind that are beyond what their tenant is owed.
 func (j *job) serviceClass(now, lateAt time.Duration) int {
 	switch {
 	case j.LongRunning():
 		return classLongRunning
+	case now <= lateAt && j.beyond:
+		return classBeyond
 	case now <= lateAt:
 		return classOnTime
+	case j.beyond:
+		return classLateBeyond
 	}
 	return classLate
 }
--- a/keel/schedule/backlog_check_test.go
+++ b/keel/schedule/backlog_check_test.go
@@ -46,6 +46,7 @@
 			}
 		}
 	}
+	b.checkTenants()
 	for _, p := range s.pools {
 		if p.backlog.tasks != tasks[p] || p.backlog.waiting.Len() != jobs[p] {
 			b.t.Errorf("pool %s: the backlog has %d tasks and %d jobs, those that wait are %d and %d", p.name, p.backlog.tasks, p.backlog.waiting.Len(), tasks[p], jobs[p])
@@ -101,19 +102,26 @@
 
 // checkPlace checks the job's place in its pool's backlog.
 func (b *testbed) checkPlace(j *job, now time.Duration) {
-	e, held := j.entry.waiting, j.entry.held
-	if e.job == nil {
-		e = held
-	} else if held.job != nil {
-		b.t.Errorf("job %s is both among the waiting and among the held jobs of its backlog", j.ID)
+	e, held, capped := j.entry.waiting, j.entry.held, j.entry.capped
+	places := 0
+	for _, place := range []rank{e, held, capped} {
+		if place.job != nil {
+			e = place
+			places++
+		}
+	}
+	if places > 1 {
+		b.t.Errorf("job %s is among several of the waiting, the held and the capped jobs of its backlog", j.ID)
 	}
 	switch {
+	case capped.job != nil && (!j.pool.backlog.capped.Has(e) || j.tenant.capped.Has(e) == j.isTooLarge()):
+		b.t.Errorf("job %s is not where its backlog or its tenant has it among the capped jobs", j.ID)
 	case (e.job != nil) != (j.waiting > 0 || j.maySpeculate):
 		b.t.Errorf("job %s has %d waiting tasks; in the backlog: %t", j.ID, j.waiting, e.job != nil)
 	case e.job == nil:
 	case held.job != nil && !j.pool.backlog.held[j.entry.heldIn].Has(e):
 		b.t.Errorf("job %s is not where its backlog has it among the held jobs", j.ID)
-	case held.job == nil && (!j.pool.backlog.waiting.Has(e) || !j.pool.backlog.byHome[j.Home].Has(e)):
+	case held.job == nil && capped.job == nil && (!j.pool.backlog.waiting.Has(e) || !j.pool.backlog.byHome[j.Home].Has(e)):
 		b.t.Errorf("job %s is not where its backlog has it", j.ID)
 	case e.class != j.serviceClass(now, j.lateAt(j.remaining())):
 		b.t.Errorf("job %s is in class %d of the backlog, %d by its objective", j.ID, e.class, j.serviceClass(now, j.lateAt(j.remaining())))
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -160,8 +160,8 @@
 }
 
 // openWork returns the unfinished work of the job's ready steps; best-effort tasks take no capacity, and tasks that no
-// instance may run don't count.
-func (j *job) openWork(mayRun func(*stepState) bool) openWork {
+// instance may run don't count. Without withWaiting, only tasks with runs count.
+func (j *job) openWork(mayRun func(*stepState) bool, withWaiting bool) openWork {
 	var w openWork
 	for _, o := range j.occurrences {
 		if o == nil {
@@ -172,6 +172,15 @@
 				continue
 			}
 			cpu := step.spec.Size.MilliCores
+			if !withWaiting {
+				running := int64(len(step.tasks)-step.done-step.waiting) * cpu
+				if step.spec.LongRunning {
+					w.longRunning += running
+				} else {
+					w.runnable += running
+				}
+				continue
+			}
 			open := int64(len(step.tasks)-step.done) * cpu
 			if step.spec.LongRunning {
 				w.longRunning += open
--- a/keel/schedule/gang.go
+++ b/keel/schedule/gang.go
@@ -7,7 +7,7 @@
 	if !pl.s.ensureTickets(step, pl) {
 		return
 	}
-	if !pl.s.starts.open() {
+	if !pl.s.starts.open() || !pl.s.caps.allows(step) {
 		return
 	}
 	if step.crashes.suspicion() > unsuspected {
--- a/keel/schedule/held.go
+++ b/keel/schedule/held.go
@@ -16,6 +16,7 @@
 			s.holders[w.DataCentre] = w
 		}
 	}
+	s.updateUnheard()
 }
 
 // holderOf returns an unheard worker that may be running tasks of the job, the one whose lease expires last, or nil if there
@@ -92,7 +93,7 @@
 func (c *waitCollector) addHeldJobs(p *pool) (tasks int) {
 	jobs := 0
 	for _, order := range p.backlog.held {
-		walk(order, startOf(classLongRunning), startOf(classLate+1), func(j *job) bool {
+		walk(order, startOf(classLongRunning), startOf(classCount), func(j *job) bool {
 			jobs++
 			tasks += j.waiting
 			c.addJob(j)
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -19,6 +19,11 @@
 	// queue is nil if the job's queue isn't known.
 	queue *queue.Queue
 	pool  *pool
+	// tenant is nil for a job of no tenant. beyond is set if the tenant had sent more than it is owed when the job arrived.
+	tenant *tenantState
+	beyond bool
+	// mayPassCap is set while the job may start tasks although others before it wait for room under their tenant's cap.
+	mayPassCap bool
 	// version is the version of the submission's row, 0 if there may be none; rows holds the keys and versions of the job's rows
 	// in the ledger, and maybeIn the partitions in which a write of its row had an unknown outcome.
 	version uint64
@@ -209,6 +214,7 @@
 		return event.Fields{"job": j.ID, "queue": j.Queue, "tasks": j.Tasks(), "source": source, "version": j.version, "shape": formatSteps(j.Job)}
 	})
 	s.estimate(j)
+	s.setTenant(j)
 	s.route(j)
 	j.occurrences = make([]*occurrence, j.OccurrenceCount())
 	s.releaseOccurrences(j)
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -3,16 +3,20 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 )
 
@@ -28,8 +32,14 @@
 	// OrdersPerSecond is the rate limit of the instance service, 0 for the testbed's default.
 	OrdersPerSecond float64  `json:"orders_per_second"`
 	Traffic         []stream `json:"traffic"`
-	// CountedPool is the pool whose jobs are counted; if it is empty, all jobs are counted.
-	CountedPool string `json:"counted"`
+	// Tenants holds the tenants by name, none for jobs without tenants; NewTenants replaces them at the time NewTenantsAt.
+	Tenants      map[string]loadTenant `json:"tenants"`
+	NewTenants   map[string]loadTenant `json:"new_tenants"`
+	NewTenantsAt duration              `json:"new_tenants_at"`
+	// CountedPool is the pool whose jobs are counted, and CountedTenant the tenant, in a stream's notation; if they are empty, all
+	// jobs are counted.
+	CountedPool   string `json:"counted"`
+	CountedTenant string `json:"counted_tenant"`
 	// MinOnTime is the minimum share of the counted jobs that must meet their objective.
 	MinOnTime float64 `json:"in_time"`
 	// MinWidestOnTime is the same minimum for the jobs whose number of tasks is in the top tenth of their stream's
@@ -37,9 +47,27 @@
 	MinWidestOnTime float64 `json:"widest"`
 }
 
+// loadTenant is a tenant of a load profile.
+type loadTenant struct {
+	// PerSecond is the tenant's weight, Cores its cap.
+	PerSecond float64 `json:"weight"`
+	Cores     int64   `json:"cores"`
+}
+
+// tenants returns the tenants of a configuration.
+func (l *load) tenants(byName map[string]loadTenant) []tenant.Tenant {
+	var all []tenant.Tenant
+	for name, t := range byName {
+		all = append(all, tenant.Tenant{Name: name, Weight: t.PerSecond, Cap: tenant.Cap{MilliCores: 1000 * t.Cores}})
+	}
+	return all
+}
+
 // stream is a kind of job that arrives at a constant rate between From and To.
 type stream struct {
-	Pool      string   `json:"pool"`
+	Pool string `json:"pool"`
+	// Tenant is the name of the tenant, empty for none; the names that begin with it submit by turns if it ends with "*".
+	Tenant    string   `json:"tenant"`
 	From      duration `json:"from"`
 	To        duration `json:"to"`
 	PerSecond float64  `json:"per_second"`
@@ -83,6 +111,7 @@
 			tasks := st.MinTasks + random.IntN(st.MaxTasks-st.MinTasks+1)
 			job := singleStepJob(fmt.Sprintf("%016x", 0xa000+len(all)), st.Pool, tasks, time.Duration(st.TaskDuration))
 			job.Steps[0].Size.MilliCores = st.MilliCores
+			job.Tenant = l.tenantOf(st.Tenant, len(all))
 			if l.DataCentres > 0 {
 				job.Home = l.dataCentre(len(all))
 			}
@@ -101,8 +130,20 @@
 	return string(rune('a' + number%max(1, l.DataCentres)))
 }
 
+// tenantOf returns the name of the tenant of a stream's job with the number.
+func (l *load) tenantOf(notation string, number int) string {
+	prefix, several := strings.CutSuffix(notation, "*")
+	if !several {
+		return notation
+	}
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(l.Tenants)), func(name string) bool { return !strings.HasPrefix(name, prefix) })
+	return names[number%len(names)]
+}
+
 func (l *load) isCounted(s submission) bool {
-	return l.CountedPool == "" || s.job.Queue == l.CountedPool
+	prefix, several := strings.CutSuffix(l.CountedTenant, "*")
+	tenantCounts := l.CountedTenant == "" || s.job.Tenant == l.CountedTenant || several && strings.HasPrefix(s.job.Tenant, prefix)
+	return tenantCounts && (l.CountedPool == "" || s.job.Queue == l.CountedPool)
 }
 
 // TestLoads runs each load profile on the emulated platform and checks the share of jobs that meet their objective.
@@ -131,7 +172,11 @@
 			pools = append(pools, pool)
 		}
 	}
-	b.startEpoch(1, pools...)
+	config := newConfig(1, pools...)
+	if len(l.Tenants) > 0 {
+		config = b.tenantConfig(1, l.tenants(l.Tenants), pools...)
+	}
+	b.startEpochWith(1, config)
 	if l.OrdersPerSecond > 0 {
 		b.onLoop(func() { b.s.Limits.OrdersPerSecond = l.OrdersPerSecond })
 	}
@@ -149,7 +194,13 @@
 			widestOnTime++
 		}
 	}
+	changed := len(l.NewTenants) == 0
 	for _, sub := range l.arrivals(rand.New(rand.NewPCG(3, 3))) {
+		if !changed && sub.at >= time.Duration(l.NewTenantsAt) {
+			changed = true
+			config := b.tenantConfig(2, l.tenants(l.NewTenants), pools...)
+			b.onLoop(func() { b.s.SetConfig(config) })
+		}
 		b.countCompleted(open, began, count, sub.at)
 		submitted.Add(1)
 		go func() {
--- a/keel/schedule/outcome.go
+++ b/keel/schedule/outcome.go
@@ -47,6 +47,7 @@
 	j.waiting = 0
 	s.updatePending(j)
 	s.removeFromPool(j)
+	s.leaveTenant(j)
 	s.markUrgent(j)
 	s.stopAll(j, "the job is "+string(state))
 }
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/tenant"
 )
 
 // plan runs one placement pass over all pools and then rebalances instances between them.
@@ -25,6 +26,7 @@
 	s.passes++
 	s.starts.held = false
 	s.updateHolders()
+	s.releaseCapped()
 	names := slices.Sorted(maps.Keys(s.pools))
 	for i := range names {
 		// Each pass begins with another pool, so that the limit on the starts in flight doesn't favour one.
@@ -45,6 +47,9 @@
 	fenced bool
 	// suspects is the number of suspected tasks that were not started.
 	suspects int
+	// deferred is the number of examined jobs whose tenant is at its cap.
+	deferred int
+	kept     keptWorkers
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
@@ -57,6 +62,7 @@
 		return
 	}
 	pl := s.newPlanner(p, now)
+	pl.kept.wanted = p.backlog.hasBeyond()
 	if !pl.placeWaiting(&p.backlog) {
 		// The jobs that were not reached may need the workers that an earlier pass found missing.
 		pl.missing.merge(p.missing)
@@ -76,7 +82,7 @@
 // The first jobs of each class are examined in each pass, and maxUnplacedJobs of its other jobs by turns.
 func (pl *planner) placeWaiting(b *backlog) bool {
 	all := true
-	for class := classLongRunning; class <= classLate; class++ {
+	for class := classLongRunning; class < classCount; class++ {
 		end := startOf(class + 1)
 		last, complete := walk(b.waiting, startOf(class), end, pl.visitor(maxUnplacedJobs))
 		if complete {
@@ -129,7 +135,7 @@
 		if !held && pl.s.starts.inFlight == starts {
 			unplaced++
 		}
-		return unplaced < limit && pl.s.starts.open()
+		return unplaced < limit && pl.deferred < maxDeferredJobs && pl.s.starts.open()
 	}
 }
 
@@ -146,8 +152,14 @@
 	return pl
 }
 
-// placeJob starts the job's waiting tasks as far as there is room, and reports whether an unheard worker holds all of them.
+// placeJob starts the job's waiting tasks as far as there is room, and reports whether an unheard worker, or its tenant's cap,
+// holds all of them.
 func (pl *planner) placeJob(j *job) (held bool) {
+	if pl.s.caps.isCapped(j) {
+		pl.deferred++
+		j.touch()
+		return true
+	}
 	fenced := pl.s.holderOf(j) == nil
 	held = !fenced
 	for _, o := range j.occurrences {
@@ -163,8 +175,8 @@
 			}
 		}
 	}
-	if held {
-		// The worker has become the job's holder since the last update of the backlog.
+	if held || fenced && j.entry.unseen != (tenant.Cap{}) {
+		// The worker has become the job's holder, or is heard, since the last update of the backlog.
 		j.touch()
 	}
 	return held
@@ -187,7 +199,7 @@
 }
 
 func (pl *planner) placeStep(step *stepState) {
-	if step.waiting == 0 && !step.spec.Speculative {
+	if step.waiting == 0 && !step.spec.Speculative || !pl.s.caps.allows(step) {
 		return
 	}
 	if step.spec.Gang {
@@ -199,6 +211,7 @@
 	}
 	pl.placeSuspects(step)
 	if pl.isHopeless(step) {
+		pl.keepFor(step, step.waiting)
 		pl.addMissing(step, step.waiting)
 		return
 	}
@@ -207,7 +220,7 @@
 		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore || t.suspicion() > unsuspected {
 			continue
 		}
-		if !pl.s.starts.open() {
+		if !pl.s.starts.open() || !pl.s.caps.allows(step) {
 			break
 		}
 		w := pl.selectWorker(step, t, nil)
@@ -219,6 +232,7 @@
 		unplaced++
 	}
 	if unplaced > 0 {
+		pl.keepFor(step, unplaced)
 		pl.allowDataCentres(step, unplaced)
 		pl.addMissing(step, unplaced)
 	}
@@ -264,8 +278,8 @@
 func (pl *planner) selectFrom(c *candidates, step *stepState, t *task, reserved reservations) *workerState {
 	size := step.size()
 	// A task that failed, or has a run, may not start on every worker with room.
-	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0
 	j := step.occurrence.job
+	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0 && !(j.beyond && len(pl.kept.workers) > 0)
 	var best placement
 	for _, g := range c.startingWith(j.Home) {
 		if best.worker != nil && best.cost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
@@ -295,7 +309,7 @@
 		if reserved != nil {
 			free, more = free.Minus(reserved[w].size), 1+reserved[w].tasks
 		}
-		if !free.Holds(size) || !step.permits(w, more) || !pl.allowed(step, t, w) {
+		if !free.Holds(size) || !step.permits(w, more) || !pl.allowed(step, t, w) || pl.isKeptFrom(w, step.occurrence.job) {
 			continue
 		}
 		found := placement{w, pl.cost(step, w, free, reserved)}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -27,6 +27,8 @@
 	worker *workerState
 	number int64
 	size   work.Size
+	// tenant is the tenant that the run counts for, nil once it no longer does.
+	tenant *tenantState
 	// removed is set once the run is certain to be over.
 	removed bool
 	// ordered is when the start order was sent.
@@ -103,6 +105,7 @@
 	t.nextRun = max(t.nextRun, number+1)
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
+	r.charge()
 	w.perStep[t.step]++
 	return r
 }
@@ -126,6 +129,7 @@
 	r.awaitingEndSince = now
 	r.worker.used = r.worker.used.Minus(r.size)
 	r.size = work.Size{}
+	r.discharge()
 }
 
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
@@ -139,6 +143,7 @@
 	delete(w.runs, t.id())
 	r.setIsolation(unsuspected)
 	w.used = w.used.Minus(r.size)
+	r.discharge()
 	w.perStep[t.step]--
 	if w.perStep[t.step] == 0 {
 		delete(w.perStep, t.step)
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -107,6 +107,8 @@
 	unheard map[string]*workerState
 	// holders is derived from unheard at the start of each pass and of each report of waits.
 	holders holders
+	// caps holds the tenants with jobs.
+	caps caps
 
 	planPending bool
 	// planTook is the duration of the latest pass.
@@ -166,6 +168,7 @@
 	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
 	s.unheard = make(map[string]*workerState)
+	s.caps.byName = make(map[string]*tenantState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
 	s.starts, s.stops = newOrderWindow(initialStartLimit, minStartLimit), newOrderWindow(initialStopLimit, minStopLimit)
 	s.fleet.init()
@@ -279,6 +282,7 @@
 func (s *Scheduler) SetConfig(c *queue.Config) {
 	s.Config = c
 	if s.ready {
+		s.configureTenants()
 		s.routeJobs()
 		s.schedulePlan()
 	}
--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -147,7 +147,7 @@
 		if t.suspicion() == unsuspected || !t.needsRun() || pl.now < t.notBefore || !t.mayStartSuspect() {
 			continue
 		}
-		if !pl.s.starts.open() {
+		if !pl.s.starts.open() || !pl.s.caps.allows(step) {
 			return
 		}
 		pl.s.countLostTrial(t)
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -117,6 +119,10 @@
 
 // loadJobs adds the jobs of the ledger. Ended ones whose outcomes have replaced their submissions are read later.
 func (s *Scheduler) loadJobs(contents ledger.Contents) {
+	if slices.ContainsFunc(contents.Jobs, func(submission ledger.Submission) bool { return submission.Job.Tenant != "" }) {
+		// What a tenant is owed depends on the order in which its jobs were accepted.
+		slices.SortStableFunc(contents.Jobs, func(a, b ledger.Submission) int { return cmp.Compare(a.Job.Accepted, b.Job.Accepted) })
+	}
 	for _, submission := range contents.Jobs {
 		id := submission.Job.ID
 		record, rows := contents.JobRecords[id], contents.JobRecordRows[id]
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -44,6 +44,8 @@
 	waitCrashStored waitCause = "crash_not_stored"
 	waitCrashKnown  waitCause = "crash_unconfirmed"
 	waitIsolation   waitCause = "isolation"
+	// waitCap means that the tenant has as much running as its cap allows, or that a job before waits for that.
+	waitCap waitCause = "tenant_cap"
 	// waitGivenUp means that the task isn't started again because it has crashed its workers.
 	waitGivenUp waitCause = "given_up"
 	// waitNone means that a worker has room for the task and may run it.
@@ -146,8 +148,8 @@
 func (c *waitCollector) addPool(p *pool) {
 	p.update(c.now, c.s.fleet.mayRun)
 	b := &p.backlog
-	rest := b.firstHeldTask()
-	c.examined = c.addHeldJobs(p)
+	rest := cmp.Or(b.firstHeldTask(), b.firstCappedTask())
+	c.examined = c.addHeldJobs(p) + c.addCappedJobs(p)
 	last, next := c.addJobs(b, startOf(classLongRunning))
 	if next != nil {
 		rest = next.waitingTask()
@@ -170,7 +172,7 @@
 // job, nil if none is left.
 func (c *waitCollector) addJobs(b *backlog, from rank) (last rank, next *job) {
 	jobs := 0
-	last, _ = walk(b.waiting, from, startOf(classLate+1), func(j *job) bool {
+	last, _ = walk(b.waiting, from, startOf(classCount), func(j *job) bool {
 		if jobs == maxReportedJobs {
 			next = j
 			return false
@@ -275,6 +277,8 @@
 		held.cause = waitLeaderLease
 	case j.queue == nil || j.pool == nil:
 		held.cause = waitQueue
+	case j.entry.capped.job != nil:
+		held.cause = waitCap
 	case c.now < t.notBefore:
 		held.cause, held.until = waitBackoff, t.notBefore
 	case t.suspicion() > unsuspected:
