--- a/keel/schedule/share.go
+++ b/keel/schedule/share.go
@@ -15,7 +15,7 @@
 	owedBurstTime = 2 * time.Second
 	// minOwedBurst is the least number of these jobs, so that chance alone brings no small tenant beyond its rate.
 	minOwedBurst = 10
-	// maxReleasedJobs is the number of a tenant's capped jobs that one pass returns to the order of waiting jobs.
+	// maxReleasedJobs is the number of a tenant's capped jobs that one pass examines.
 	maxReleasedJobs = 64
 	// maxDeferredJobs is the number of jobs whose tenant is at its cap after which a pass examines no more jobs, as each of them is
 	// moved once.
@@ -44,9 +44,13 @@
 	// used is what the runs need that may be in progress, best-effort ones with their processor time; unseen is the same for tasks of
 	// earlier epochs that workers may be running unseen.
 	used, unseen tenant.Cap
+	// lasting is the part of used for long-running tasks.
+	lasting tenant.Cap
 	// capped holds the jobs of all pools that wait until the tenant has room under its cap, in scheduling order.
 	capped *btree.BTreeG[rank]
-	rate   owedRate
+	// head is the first of them that waits for runs to end, as of the last pass, without a job if there is none.
+	head rank
+	rate owedRate
 	// jobs is the number of open jobs; beyond counts the jobs beyond the owed rate since the last report.
 	jobs, beyond int
 }
@@ -133,17 +137,27 @@
 // charge counts the run for its tenant.
 func (r *run) charge() {
 	r.tenant = r.task.job().tenant
-	if r.tenant != nil {
-		r.tenant.used = r.tenant.used.Plus(tenant.Cap(r.task.step.spec.Size))
+	if r.tenant == nil {
+		return
+	}
+	size := tenant.Cap(r.task.step.spec.Size)
+	r.tenant.used = r.tenant.used.Plus(size)
+	if r.task.step.spec.LongRunning {
+		r.tenant.lasting = r.tenant.lasting.Plus(size)
 	}
 }
 
 // discharge records that the run is over and no longer counts for its tenant.
 func (r *run) discharge() {
-	if r.tenant != nil {
-		r.tenant.used = r.tenant.used.Minus(tenant.Cap(r.task.step.spec.Size))
-		r.tenant = nil
+	if r.tenant == nil {
+		return
 	}
+	size := tenant.Cap(r.task.step.spec.Size)
+	r.tenant.used = r.tenant.used.Minus(size)
+	if r.task.step.spec.LongRunning {
+		r.tenant.lasting = r.tenant.lasting.Minus(size)
+	}
+	r.tenant = nil
 }
 
 // updateUnheard sums the capacity of the unheard workers. That of one without a registration isn't known.
@@ -219,8 +233,8 @@
 	if c.isCapped(j) {
 		return true
 	}
-	first, ok := j.tenant.capped.Min()
-	return ok && !j.mayPassCap && first.before(place)
+	head := j.tenant.head
+	return !j.mayPassCap && head.job != nil && head.job.entry.capped == head && head.before(place)
 }
 
 // isTooLarge reports whether all that the job could start are gangs above its tenant's cap, which can't start before the cap rises.
@@ -262,13 +276,23 @@
 	}
 }
 
-// release releases the tenant's first capped jobs, until the next one doesn't fit in the room that they leave.
+// release releases the tenant's first capped jobs, until the next one that may get enough room doesn't fit in what they leave: that
+// one is the head, and holds back the jobs behind it.
 func (c *caps) release(t *tenantState) {
-	room, released := t.limit.Room(c.taken(t)), 0
+	t.head = rank{}
+	room, later := t.limit.Room(c.taken(t)), t.limit.Room(t.lasting)
+	released, passed := 0, 0
 	t.capped.Ascend(func(r rank) bool {
-		if released == maxReleasedJobs || !c.allowsSome(r.job, room) {
+		if t.unconfigured || released+passed == maxReleasedJobs {
 			return false
 		}
+		if !c.allowsSome(r.job, room) {
+			passed++
+			if c.allowsSome(r.job, later) {
+				t.head = r
+			}
+			return t.head.job == nil
+		}
 		released++
 		r.job.mayPassCap = true
 		r.job.touch()
--- a/keel/schedule/share_test.go
+++ b/keel/schedule/share_test.go
@@ -37,12 +37,6 @@
 	return j
 }
 
-func (b *testbed) submitAll(jobs []*work.Job, takes time.Duration) {
-	for _, j := range jobs {
-		b.submit(j, takes)
-	}
-}
-
 // Guards against starts above a tenant's cap, against a tenant under its cap that waits for one at its cap, and against capped work
 // that isn't started again when room comes.
 func TestCapHoldsAndOthersDontWait(t *testing.T) {
@@ -229,6 +223,32 @@
 	})
 }
 
+// Guards against a gang that waits for room that the tenant's long-running tasks never leave, and holds back all jobs behind it.
+func TestHeadThatCannotStartHoldsBackNone(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpochWith(1, b.tenantConfig(1, []tenant.Tenant{cores("large", 8)}, "p"))
+		time.Sleep(500 * time.Millisecond)
+		lasting := tenantJob(0, "large", 4, 0)
+		lasting.Steps[0].LongRunning = true
+		b.submit(lasting, 0)
+		time.Sleep(500 * time.Millisecond)
+		gang := tenantJob(1, "large", 5, 300*time.Millisecond)
+		gang.Steps[0].Gang = true
+		b.submit(gang, 300*time.Millisecond)
+		for n := range 10 {
+			b.submit(tenantJob(2+n, "large", 3, 300*time.Millisecond), 300*time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.countJobs(work.Completed), 10)
+		assert.Equal(t, b.checker.PeakUse("large"), int64(8000))
+		b.onLoop(func() { b.s.Cancel(lasting.ID, func() {}) })
+		b.checker.Cancelled(lasting.ID)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.stateOf(1), work.Completed)
+	})
+}
+
 func TestOwedRate(t *testing.T) {
 	tests := []struct {
 		name      string
