--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -157,6 +157,9 @@
 	job, err := platform.DecodeJob(id, q.Name, body)
 	if err == nil {
 		job.Terms, job.Tenant = config.Terms(q), from.tenant
+		err = config.checkCap(job)
+	}
+	if err == nil {
 		err = s.submit(callCtx, job, from)
 	}
 	if err != nil {
--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -40,6 +40,7 @@
 		{"Duties and platform (900)", dutyEvents},
 		{"Leader, tasks and workers (1000)", scheduleEvents},
 		{"Tenants (1100)", tenantEvents},
+		{"Caps and shares of tenants (1150)", shareEvents},
 	}
 }
 
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -31,6 +31,7 @@
 	passes   prometheus.Histogram
 	delays   prometheus.Histogram
 	crashes  *prometheus.CounterVec
+	tenants  tenantMetrics
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -71,6 +72,7 @@
 	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirekeel_worker_crashes_total", Help: "Workers known to have crashed, by pool.",
 	}, []string{"pool"})
+	m.tenants = newTenantMetrics(registry)
 	registry.MustRegister(m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
--- a/keel/schedule/share.go
+++ b/keel/schedule/share.go
@@ -189,15 +189,11 @@
 func (c *caps) fits(t *tenantState, step *stepState, room tenant.Cap) bool {
 	size := tenant.Cap(step.spec.Size)
 	if step.spec.Gang {
-		return room.Holds(scale(size, len(step.tasks)))
+		return room.Holds(size.Times(int64(len(step.tasks))))
 	}
 	return room.Holds(size) || c.taken(t) == tenant.Cap{}
 }
 
-func scale(c tenant.Cap, n int) tenant.Cap {
-	return tenant.Cap{MilliCores: c.MilliCores * int64(n), MemoryMB: c.MemoryMB * int64(n), Accelerators: c.Accelerators * int64(n)}
-}
-
 // allowsSome reports whether some task of the job may start in the room under its tenant's cap.
 func (c *caps) allowsSome(j *job, room tenant.Cap) bool {
 	return !j.tenant.unconfigured && j.hasStartable(func(step *stepState) bool { return c.fits(j.tenant, step, room) })
@@ -241,7 +237,7 @@
 func (j *job) isTooLarge() bool {
 	room := j.tenant.limit.Room(tenant.Cap{})
 	return !j.hasStartable(func(step *stepState) bool {
-		return !step.spec.Gang || room.Holds(scale(tenant.Cap(step.spec.Size), len(step.tasks)))
+		return !step.spec.Gang || room.Holds(tenant.Cap(step.spec.Size).Times(int64(len(step.tasks))))
 	})
 }
 
@@ -288,7 +284,7 @@
 		}
 		if !c.allowsSome(r.job, room) {
 			passed++
-			if c.allowsSome(r.job, later) {
+			if r.job.waiting > 0 && c.allowsSome(r.job, later) {
 				t.head = r
 			}
 			return t.head.job == nil
@@ -309,7 +305,7 @@
 			continue
 		}
 		for _, step := range o.steps {
-			sum = sum.Plus(scale(tenant.Cap(step.spec.Size), step.waiting))
+			sum = sum.Plus(tenant.Cap(step.spec.Size).Times(int64(step.waiting)))
 		}
 	}
 	return sum
@@ -325,7 +321,7 @@
 		}
 		for _, step := range o.steps {
 			if step.spec.Speculative && step.ready {
-				sum = sum.Plus(scale(tenant.Cap(step.spec.Size), len(step.tasks)-step.done-step.waiting))
+				sum = sum.Plus(tenant.Cap(step.spec.Size).Times(int64(len(step.tasks) - step.done - step.waiting)))
 			}
 		}
 	}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -100,6 +100,7 @@
 		})
 	}
 	s.Metrics.setWaits(groups, now)
+	s.reportTenants()
 }
 
 // collectWaits returns the waits by pool and cause, ordered by both.
--- a/keel/tenant/share.go
+++ b/keel/tenant/share.go
@@ -15,6 +15,9 @@
 	return Cap{c.MilliCores - o.MilliCores, c.MemoryMB - o.MemoryMB, c.Accelerators - o.Accelerators}
 }
 
+// Times returns n times the amount.
+func (c Cap) Times(n int64) Cap { return Cap{c.MilliCores * n, c.MemoryMB * n, c.Accelerators * n} }
+
 // Holds reports whether o fits into c in every dimension, of which none is without a limit.
 func (c Cap) Holds(o Cap) bool {
 	return o.MilliCores <= c.MilliCores && o.MemoryMB <= c.MemoryMB && o.Accelerators <= c.Accelerators
