--- a/keel/schedule/backlog_bench_test.go
+++ b/keel/schedule/backlog_bench_test.go
@@ -18,6 +18,7 @@
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
+	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
@@ -48,6 +49,16 @@
 // tasks each on average. Half of the jobs have their home in one data centre, and four fifths can no longer meet their
 // objective.
 func newBacklogFleet(tb testing.TB, waiting int) *backlogFleet {
+	tb.Helper()
+	return newBacklogFleetOf(tb, waiting, "")
+}
+
+// cappedTenant is the name of a tenant whose cap is a hundredth of the pool "p".
+const cappedTenant = "capped"
+
+// newBacklogFleetOf returns such a fleet in which the waiting tasks are those of a tenant that is at its cap, unless the name is
+// empty.
+func newBacklogFleetOf(tb testing.TB, waiting int, tenantName string) *backlogFleet {
 	tb.Helper()
 	f := &backlogFleet{jobs: jobSource{random: rand.New(rand.NewPCG(5, 5))}}
 	loop := control.New(4000)
@@ -74,10 +85,19 @@
 		}
 		return usable == 940 && f.s.fleet.listedAt != 0
 	})
-	for f.countWaiting(onLoop) == 0 {
+	if tenantName != "" {
+		onLoop(func() { f.s.SetConfig(withCappedTenant(f.s.Config)) })
+		f.jobs.tenant = tenantName
+		onLoop(func() { f.addJobs(20, 0) })
+		f.settle(tb, onLoop)
+		f.jobs.tenant = ""
+	}
+	before := f.countWaiting(onLoop)
+	for f.countWaiting(onLoop) == before {
 		onLoop(func() { f.addJobs(20, 0) })
 		f.settle(tb, onLoop)
 	}
+	f.jobs.tenant = tenantName
 	for f.countWaiting(onLoop) < waiting {
 		onLoop(func() { f.addJobs(4, 10*time.Second) })
 		onLoop(func() { f.addJobs(1, 0) })
@@ -89,6 +109,14 @@
 	return f
 }
 
+// withCappedTenant returns the configuration with cappedTenant.
+func withCappedTenant(c *queue.Config) *queue.Config {
+	capped := *c
+	capped.Tenants = tenant.NewSet()
+	capped.Tenants.Add(tenant.Tenant{Name: cappedTenant, Weight: 1e6, Cap: tenant.Cap{MilliCores: 64000}}, nil)
+	return &capped
+}
+
 // newScheduler returns a scheduler whose workers accept all starts and never end a run.
 func (f *backlogFleet) newScheduler(loop *control.Loop) *Scheduler {
 	store := emulator.NewStore(rand.New(rand.NewPCG(1, 1)))
@@ -173,12 +201,14 @@
 type jobSource struct {
 	random *rand.Rand
 	drawn  int
+	// tenant is the name of the jobs' tenant.
+	tenant string
 }
 
 // next returns a job of 1.6 steps with 8 tasks each on average. Half of the jobs have their home in data centre "a".
 func (d *jobSource) next(queue string) *work.Job {
 	d.drawn++
-	job := &work.Job{ID: fmt.Sprintf("%016x", d.drawn), Queue: queue, Home: "a"}
+	job := &work.Job{ID: fmt.Sprintf("%016x", d.drawn), Queue: queue, Tenant: d.tenant, Home: "a"}
 	if d.random.IntN(2) == 0 {
 		job.Home = string(rune('b' + d.random.IntN(4)))
 	}
@@ -299,6 +329,28 @@
 	}
 }
 
+// BenchmarkPlacementPassBesideCap measures the same passes by the number of tasks that wait for room under their tenant's cap.
+func BenchmarkPlacementPassBesideCap(b *testing.B) {
+	for _, waiting := range []int{100, 10000, 100000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			f := newBacklogFleetOf(b, waiting, cappedTenant)
+			b.Run("full", func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					f.pass()
+				}
+			})
+			b.Run("free=1", func(b *testing.B) { f.benchmarkStarts(b, 1) })
+			b.Run("report_waits", func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					f.reportWaits()
+				}
+			})
+		})
+	}
+}
+
 // benchmarkStarts measures a placement pass after the runs of the given number of workers have ended.
 func (f *backlogFleet) benchmarkStarts(b *testing.B, free int) {
 	b.ReportAllocs()
--- a/keel/schedule/backlog_cost_test.go
+++ b/keel/schedule/backlog_cost_test.go
@@ -137,3 +137,22 @@
 	}
 	return false
 }
+
+// Guards against jobs at their tenant's cap that cost a pass as much as if they could start.
+func TestCappedJobsCostAPassNothing(t *testing.T) {
+	const (
+		fewTasks, manyTasks = 1000, 100_000
+		// maxBytesFactor and maxTimeFactor are the factors by which a pass beside 100 times the capped tasks may cost more.
+		maxBytesFactor, maxTimeFactor = 2, 4
+	)
+	few, many := newBacklogFleetOf(t, fewTasks, cappedTenant), newBacklogFleetOf(t, manyTasks, cappedTenant)
+	for _, f := range []*backlogFleet{few, many} {
+		capped := f.s.pools["p"].backlog.capped.Len()
+		assert.Assert(t, capped > 50 && f.s.pools["p"].backlog.waiting.Len() < 50, "%d jobs are capped", capped)
+	}
+	costOf := func(f *backlogFleet) passCost { return measurePass(func() {}, func() { f.pass() }) }
+	atFew, atMany := costOf(few), costOf(many)
+	t.Logf("%d tasks: %d bytes, %s; %d tasks: %d bytes, %s", fewTasks, atFew.bytes, atFew.shortest, manyTasks, atMany.bytes, atMany.shortest)
+	assert.Assert(t, atMany.bytes <= maxBytesFactor*atFew.bytes)
+	assert.Assert(t, atMany.shortest <= maxTimeFactor*atFew.shortest)
+}
