--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -150,49 +150,63 @@
 	if j.waiting == 0 && j.maySpeculate {
 		j.maySpeculate = j.needsSpeculativeRun(now)
 	}
-	remaining := j.remaining()
-	lateAt := j.lateAt(remaining)
-	class := j.serviceClass(now, lateAt)
-	e := &j.entry
-	// Late jobs are ordered by arrival, the others by the slack to their objective.
-	place := rank{class: class, key: j.objective() - remaining, id: j.ID, job: j}
-	if class >= classLate {
-		place.key = j.arrived
-	}
+	place, lateAt := j.place(now)
 	waits := j.waiting > 0 || j.maySpeculate
 	holder := b.holderOf(j)
 	held := holder != nil && !j.maySpeculateNow()
 	capped := waits && !held && b.caps.holdsBack(place)
-	e.work, e.tasks, e.onTime = j.openWork(mayRun, !capped), j.waiting, class <= classOnTime
+	b.count(place, lateAt, j.openWork(mayRun, !capped))
+	if waits && holder != nil {
+		b.countUnseen(j)
+	}
+	switch {
+	case !waits:
+	case capped:
+		b.addCapped(place)
+	case held:
+		b.addHeld(place, holder.DataCentre)
+	default:
+		b.addWaiting(place)
+	}
+}
+
+// place returns the job's place in the scheduling order, and when it becomes late: late jobs are ordered by arrival, the others by
+// the slack to their objective.
+func (j *job) place(now time.Duration) (place rank, lateAt time.Duration) {
+	remaining := j.remaining()
+	lateAt = j.lateAt(remaining)
+	place = rank{class: j.serviceClass(now, lateAt), key: j.objective() - remaining, id: j.ID, job: j}
+	if place.class >= classLate {
+		place.key = j.arrived
+	}
+	return place, lateAt
+}
+
+// count counts the job's work and its tasks, and when it becomes late.
+func (b *backlog) count(place rank, lateAt time.Duration, unfinished openWork) {
+	j := place.job
+	e := &j.entry
+	e.work, e.tasks, e.onTime = unfinished, j.waiting, place.class <= classOnTime
 	b.total.add(e.work)
 	b.tasks += e.tasks
 	if e.onTime {
 		b.onTime.add(e.work)
 	}
-	if class == classOnTime || class == classBeyond {
+	if place.class == classOnTime || place.class == classBeyond {
 		e.deadline = rank{key: lateAt, id: j.ID, job: j}
 		b.deadlines.ReplaceOrInsert(e.deadline)
 	}
-	if !waits {
-		return
-	}
-	if holder != nil {
-		b.countUnseen(j)
-	}
-	if capped {
-		b.addCapped(place)
-		return
-	}
-	if held {
-		b.addHeld(place, holder.DataCentre)
-		return
-	}
-	e.waiting = place
-	b.waiting.ReplaceOrInsert(e.waiting)
+}
+
+// addWaiting adds the job to those whose tasks may start.
+func (b *backlog) addWaiting(place rank) {
+	j := place.job
+	j.entry.waiting = place
+	b.waiting.ReplaceOrInsert(place)
 	if b.byHome[j.Home] == nil {
 		b.byHome[j.Home] = btree.NewG(backlogDegree, rank.before)
 	}
-	b.byHome[j.Home].ReplaceOrInsert(e.waiting)
+	b.byHome[j.Home].ReplaceOrInsert(place)
 }
 
 // remove removes a job.
--- a/keel/schedule/backlog_bench_test.go
+++ b/keel/schedule/backlog_bench_test.go
@@ -18,8 +18,8 @@
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
-	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/table"
+	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 	"samphirekeel.example/keel/worker"
 )
--- a/keel/schedule/backlog_check_test.go
+++ b/keel/schedule/backlog_check_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/google/btree"
+
 	"samphirekeel.example/keel/work"
 )
 
@@ -102,32 +105,42 @@
 
 // checkPlace checks the job's place in its pool's backlog.
 func (b *testbed) checkPlace(j *job, now time.Duration) {
-	e, held, capped := j.entry.waiting, j.entry.held, j.entry.capped
-	places := 0
-	for _, place := range []rank{e, held, capped} {
-		if place.job != nil {
-			e = place
-			places++
-		}
-	}
-	if places > 1 {
-		b.t.Errorf("job %s is among several of the waiting, the held and the capped jobs of its backlog", j.ID)
-	}
+	e, trees := b.placeOf(j)
 	switch {
-	case capped.job != nil && (!j.pool.backlog.capped.Has(e) || j.tenant.capped.Has(e) == j.isTooLarge()):
-		b.t.Errorf("job %s is not where its backlog or its tenant has it among the capped jobs", j.ID)
 	case (e.job != nil) != (j.waiting > 0 || j.maySpeculate):
 		b.t.Errorf("job %s has %d waiting tasks; in the backlog: %t", j.ID, j.waiting, e.job != nil)
 	case e.job == nil:
-	case held.job != nil && !j.pool.backlog.held[j.entry.heldIn].Has(e):
-		b.t.Errorf("job %s is not where its backlog has it among the held jobs", j.ID)
-	case held.job == nil && capped.job == nil && (!j.pool.backlog.waiting.Has(e) || !j.pool.backlog.byHome[j.Home].Has(e)):
+	case slices.ContainsFunc(trees, func(tree *btree.BTreeG[rank]) bool { return tree == nil || !tree.Has(e) }):
 		b.t.Errorf("job %s is not where its backlog has it", j.ID)
+	case j.entry.capped.job != nil && j.tenant.capped.Has(e) == j.isTooLarge():
+		b.t.Errorf("job %s is not where its tenant has it among the capped jobs", j.ID)
 	case e.class != j.serviceClass(now, j.lateAt(j.remaining())):
 		b.t.Errorf("job %s is in class %d of the backlog, %d by its objective", j.ID, e.class, j.serviceClass(now, j.lateAt(j.remaining())))
 	}
 }
 
+// placeOf returns the job's place in its backlog, without a job if it has none, and the trees that must have it.
+func (b *testbed) placeOf(j *job) (place rank, trees []*btree.BTreeG[rank]) {
+	backlog, e := &j.pool.backlog, &j.entry
+	places := 0
+	if e.waiting.job != nil {
+		place, trees = e.waiting, []*btree.BTreeG[rank]{backlog.waiting, backlog.byHome[j.Home]}
+		places++
+	}
+	if e.held.job != nil {
+		place, trees = e.held, []*btree.BTreeG[rank]{backlog.held[e.heldIn]}
+		places++
+	}
+	if e.capped.job != nil {
+		place, trees = e.capped, []*btree.BTreeG[rank]{backlog.capped}
+		places++
+	}
+	if places > 1 {
+		b.t.Errorf("job %s is among several of the waiting, the held and the capped jobs of its backlog", j.ID)
+	}
+	return place, trees
+}
+
 // countNeedingRun returns the number of the step's tasks that need a run, 0 for a step that isn't ready.
 func countNeedingRun(step *stepState) int {
 	n := 0
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -217,7 +217,7 @@
 	}
 	unplaced := 0
 	for _, t := range step.tasks {
-		if !t.needsRun() && !t.needsSpeculativeRun(pl.now) || pl.now < t.notBefore || t.suspicion() > unsuspected {
+		if !pl.mayStart(t) {
 			continue
 		}
 		if !pl.s.starts.open() || !pl.s.caps.allows(step) {
@@ -238,6 +238,11 @@
 	}
 }
 
+// mayStart reports whether the task may start a run now, apart from others if it isn't suspected.
+func (pl *planner) mayStart(t *task) bool {
+	return (t.needsRun() || t.needsSpeculativeRun(pl.now)) && pl.now >= t.notBefore && t.suspicion() == unsuspected
+}
+
 // isHopeless reports whether no task of the step can start in this pass, and no data centre that the job may not use yet
 // has room for one.
 func (pl *planner) isHopeless(step *stepState) bool {
@@ -279,7 +284,7 @@
 	size := step.size()
 	// A task that failed, or has a run, may not start on every worker with room.
 	j := step.occurrence.job
-	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0 && !(j.beyond && len(pl.kept.workers) > 0)
+	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0 && (!j.beyond || len(pl.kept.workers) == 0)
 	var best placement
 	for _, g := range c.startingWith(j.Home) {
 		if best.worker != nil && best.cost < remoteDataCentreCost && j.Home != "" && g.dataCentre != j.Home && !step.spec.BestEffort {
