--- a/entry/site/tenants_test.go
+++ b/entry/site/tenants_test.go
@@ -40,6 +40,9 @@
 		p.queues[len(p.queues)-1].Public = true
 		p.setKeys([]string{keyA, otherA}, []string{keyB})
 		time.Sleep(5 * time.Second)
+		for _, entry := range p.entryNames() {
+			assert.Equal(t, p.get(entry, keyB, "").status, 200)
+		}
 		play(t, p)
 	})
 }
@@ -284,8 +287,11 @@
 		t.Run(fmt.Sprintf("strict_%t", strict), func(t *testing.T) {
 			tenantRun(t, func(t *testing.T, p *dayRun) {
 				site := p.entry("b-1").site
-				site.Settings.Bounds.RefuseUnchecked, site.Settings.Bounds.RevokeTime = strict, 5*time.Second
-				site.updateKeyTime()
+				onLoop(t.Context(), site, func() bool {
+					site.Settings.Bounds.RefuseUnchecked, site.Settings.Bounds.RevokeTime = strict, 5*time.Second
+					site.updateKeyTime()
+					return true
+				})
 				heal := p.partition()
 				p.setKeys([]string{keyA, "key-a-added"}, nil)
 				time.Sleep(3 * time.Second)
@@ -325,7 +331,7 @@
 			time.Sleep(7 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		older := p.entry("a-1").site.operatorRows["config"]
+		older := onLoop(t.Context(), p.entry("a-1").site, func() table.Row { return p.entry("a-1").site.operatorRows["config"] })
 		p.setKeys(nil, []string{keyB})
 		time.Sleep(time.Second)
 		for _, entry := range p.entryNames() {
@@ -449,6 +455,9 @@
 		p.setKeys([]string{keyA, otherA}, nil)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, p.send("a-1", keyA, fasthttp.MethodPost, "q-p", jobID(1), endless).status, 200)
+		for _, entry := range p.entryNames() {
+			assert.Equal(t, p.get(entry, keyA, jobID(1)).status, 200)
+		}
 		leader, other := p.otherThanLeader()
 		outage := &emulator.StoreFault{Outage: emulator.Busy, Callers: []string{leader, other}}
 		p.store.Inject(outage)
