Entries that the store rejects together with the leader learn who leads

Cause: an entry that the store rejects knows only the leader that it last read. If the store rejects that one too, another entry leads, but the rejected ones keep to the former leader, count as ready because it answers, and refuse every call until the store is back.

Change: a response with the operator's rows names the leader; the former leader asks the entries that offered themselves as relays while it led. If a source fails or isn't current, the next one is asked.

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -273,7 +273,7 @@
 		return
 	}
 	s.Log.Write(event.CallUnanswered, event.Fields{
-		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.lease.Leader().Holder,
+		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.currentLeader().Holder,
 	})
 	writeError(ctx, err)
 }
--- a/entry/site/operator.go
+++ b/entry/site/operator.go
@@ -7,6 +7,7 @@
 	"samphirekeel.example/keel/control"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/leader"
 	"samphirekeel.example/keel/table"
 )
 
@@ -42,6 +43,8 @@
 	Rows []table.Row `json:"rows"`
 	// AgeMillis is the time since the entry last knew the rows to be current, nil if it doesn't know that.
 	AgeMillis *int64 `json:"age_ms,omitempty"`
+	// Leader is the record of the leader, as far as the entry knows it.
+	Leader leader.Record `json:"leader,omitzero"`
 }
 
 // recordConfigCheck records that no configuration newer than the applied one was stored at the given time; it is called on
@@ -58,33 +61,29 @@
 	return checkedAt != 0 && s.Now()-time.Duration(checkedAt) < maxConfigAge
 }
 
-// fetchOperatorRows requests the configuration and the waves from the leader while the store is unavailable to this
-// entry.
+// fetchOperatorRows requests the configuration and the waves, and who leads, from another entry while the store is
+// unavailable to this one.
 func (s *Entry) fetchOperatorRows() {
-	record := s.lease.Leader()
-	if !s.storeUnavailable.Load() || record.Holder == "" || record.Holder == s.Settings.Name {
+	if !s.storeUnavailable.Load() {
+		return
+	}
+	address := s.operatorSource()
+	if address == "" {
 		return
 	}
 	sent := s.Now()
 	control.Call(s.loop, notifyTimeout, func(ctx context.Context) (operatorRowsResponse, error) {
 		var response operatorRowsResponse
-		err := s.node.Call(ctx, record.Address, methodOperator, query{}, &response)
+		err := s.node.Call(ctx, address, methodOperator, query{}, &response)
 		return response, err
-	}, func(response operatorRowsResponse, err error) {
-		if err == nil {
-			s.applyOperatorRows(response.Rows)
-			s.lastLeaderResponse.Store(int64(s.Now()))
-			if response.AgeMillis != nil {
-				s.recordConfigCheck(sent - time.Duration(*response.AgeMillis)*time.Millisecond)
-			}
-		}
-	})
+	}, func(response operatorRowsResponse, err error) { s.recordOperatorResponse(address, sent, response, err) })
 }
 
 // listOperatorRows returns the operator's rows for another entry.
 func (s *Entry) listOperatorRows(ctx context.Context) operatorRowsResponse {
 	return onLoop(ctx, s, func() operatorRowsResponse {
-		var response operatorRowsResponse
+		record := s.currentLeader()
+		response := operatorRowsResponse{Leader: leader.Record{Holder: record.Holder, Address: record.Address, Epoch: record.Epoch}}
 		for _, row := range s.operatorRows {
 			response.Rows = append(response.Rows, row)
 		}
--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -96,7 +96,7 @@
 
 // forwardJob stores the job through the leader and returns its version in the store.
 func (s *Entry) forwardJob(ctx context.Context, job *work.Job) (uint64, error) {
-	record := s.lease.Leader()
+	record := s.currentLeader()
 	if record.Holder == "" || record.Holder == s.Settings.Name {
 		return 0, fault.New(fault.NotReady, "job not forwarded: no other entry is known to lead").WithOutcome(fault.NotRun)
 	}
@@ -199,7 +199,7 @@
 // queryLeader sends a query to the leader, or runs local if this entry is the leader; it returns false without a usable
 // response.
 func (s *Entry) queryLeader(ctx context.Context, method string, in query, local func(context.Context, query) queryResponse) (queryResponse, bool) {
-	record := s.lease.Leader()
+	record := s.currentLeader()
 	if record.Holder == "" {
 		return queryResponse{}, false
 	}
@@ -214,7 +214,7 @@
 
 // notifyLeader notifies the leader of a stored job that hasn't ended, without waiting for the response.
 func (s *Entry) notifyLeader(stored ledger.Submission) {
-	record := s.lease.Leader()
+	record := s.currentLeader()
 	if record.Holder == "" || stored.Job == nil {
 		return
 	}
--- a/entry/site/relays.go
+++ b/entry/site/relays.go
@@ -85,6 +85,7 @@
 // handleOffer uses the relay if this entry leads and may have many workers. It doesn't wait for the control loop, since a
 // busy leader must not lose its relays.
 func (s *Entry) handleOffer(offer relay.Offer) struct{} {
+	s.advisers.record(offer.Address, s.Now())
 	if s.relaysNeeded.Load() {
 		s.relayClient.Accept(offer)
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -117,6 +117,11 @@
 	// it never was. configUnreadable is set while the newest one can't be decoded.
 	configCheckedAt  atomic.Int64
 	configUnreadable bool
+	// toldLeader is the latest leader that other entries have told this one, nil if none has.
+	toldLeader atomic.Pointer[leader.Record]
+	advisers   advisers
+	// sourceTurn selects the entry that is asked for the operator's rows; it rises when one can't tell.
+	sourceTurn int
 	// keyTime is how long after the last check of the configuration keys are relied on, in nanoseconds, 0 for ever.
 	keyTime  atomic.Int64
 	stopping atomic.Bool
--- a/entry/site/tenants_test.go
+++ b/entry/site/tenants_test.go
@@ -444,7 +444,7 @@
 }
 
 // Guards against a call by a withdrawn key that is served by an entry that the store turns away while it does so with the
-// leader as well, until another entry leads and beyond.
+// leader as well; and against such entries that find no leader until the store serves them again, though another entry leads.
 func TestKeysWhileLeaderHasNoStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := partitionedDay()
@@ -471,6 +471,11 @@
 				assert.Assert(t, got.status == 401 || got.status == 503, "%s: %d %s", entry, got.status, got.body)
 				got = p.post(entry, keyB, jobID(1000+i))
 				assert.Assert(t, got.status == 200 || got.status == 503, "%s: %d %s", entry, got.status, got.body)
+				if i >= 30 {
+					assert.Equal(t, got.status, 200, "%s: %s", entry, got.body)
+					assert.Equal(t, p.post(entry, neverKey, jobID(9)).status, 401, entry)
+					assert.Assert(t, p.entry(entry).site.ready(), entry)
+				}
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
