--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -41,7 +41,7 @@
 	// weakCPUShare is the share of a core below which an entry leads only if no entry with more CPU does.
 	weakCPUShare = 0.3
 	// weakRankOffset, firstStartRankOffset and rankSpread order the candidates for the lease; see Entry.rank.
-	weakRankOffset       = 12
+	weakRankOffset       = leader.LastRank
 	firstStartRankOffset = 4
 	rankSpread           = 4
 )
--- a/keel/leader/lease.go
+++ b/keel/leader/lease.go
@@ -39,6 +39,9 @@
 	acquireInterval = 250 * time.Millisecond
 	// rankDelay is the additional time per rank that a candidate waits before it acquires a free lease.
 	rankDelay = 15 * time.Millisecond
+	// LastRank is a rank with a delay of 1.2 s. It is longer than a poll without response takes, so that a candidate of a lower
+	// rank that notices the end of an outage with its next poll only still comes first.
+	LastRank = 80
 	// feedWait is how long one poll of the change feed waits for changes.
 	feedWait = 500 * time.Millisecond
 	// feedTimeoutMargin is added to feedWait for the timeout of a poll.
--- a/keel/leader/rows_test.go
+++ b/keel/leader/rows_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -235,3 +238,47 @@
 		assert.Assert(t, took > 0 && took < 200*time.Millisecond, "%s", took)
 	})
 }
+
+// Guards against candidates of the last rank, which have little processor time and a slow link, that acquire the lease after an
+// outage of the store because they are the first to notice its end.
+func TestLastRankWaitsForOthersAfterOutage(t *testing.T) {
+	for after := time.Duration(0); after < 1300*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				for i := range 3 {
+					b.start(fmt.Sprint("strong-", i), i)
+				}
+				for i := range 8 {
+					b.start(fmt.Sprint("weak-", i), leader.LastRank)
+				}
+				time.Sleep(3 * time.Second)
+				first := b.holder()
+				assert.Assert(t, strings.HasPrefix(first, "strong"))
+				// The candidates' polls time out at different times, so that some notice the end of the outage earlier.
+				var outages []*emulator.StoreFault
+				for _, name := range slices.Sorted(maps.Keys(b.leases)) {
+					outage := &emulator.StoreFault{Outage: emulator.Silent, Callers: []string{name}}
+					b.store.Inject(outage)
+					outages = append(outages, outage)
+					if strings.HasPrefix(name, "weak") {
+						time.Sleep(140 * time.Millisecond)
+					}
+				}
+				time.Sleep(5*time.Second + after)
+				b.kill(first)
+				for _, outage := range outages {
+					b.store.Clear(outage)
+				}
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, strings.HasPrefix(b.holder(), "strong"), "%s holds the lease", b.holder())
+				for name := range b.leases {
+					if strings.HasPrefix(name, "strong") {
+						b.kill(name)
+					}
+				}
+				time.Sleep(6 * time.Second)
+				assert.Assert(t, b.holder() != "")
+			})
+		})
+	}
+}
