--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -67,9 +67,8 @@
 // loadStore reads the store. An attempt continues where the previous one failed, because one timeout may not suffice for
 // all rows.
 func (s *Scheduler) loadStore() {
-	store := repeatingReads(s.Store)
-	registrations := store.Scan(table.Range{Table: s.Rows.RegistrationTable})
-	loader := ledger.NewLoader(store)
+	registrations := s.Store.Scan(table.Range{Table: s.Rows.RegistrationTable})
+	loader := ledger.NewLoader(s.Store)
 	takeoverStep(s, "load", callTimeout, func(ctx context.Context) (snapshot, error) {
 		for {
 			done, err := registrations.Next(ctx)
