--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -50,6 +50,8 @@
 	MaxListedEnds int
 	// SparePool is the name of the pool whose instances run no worker.
 	SparePool string
+	// SameID makes workers say when they booted, and start again under the ID that they had after a crash.
+	SameID bool
 	// OrderRate is the maximum number of orders to instances per second; 0 means no limit.
 	OrderRate int
 	// Checker records the jobs and checks the product's guarantees.
@@ -115,13 +117,26 @@
 		return
 	}
 	f.lastWorker++
-	w := &Worker{
-		fleet: f, instance: inst, id: fmt.Sprintf("w-%04d", f.lastWorker), address: fmt.Sprintf("10.0.%d.%d:80", f.lastWorker/250, f.lastWorker%250),
+	w := f.newWorkerLocked(inst, fmt.Sprintf("w-%04d", f.lastWorker), fmt.Sprintf("10.0.%d.%d:80", f.lastWorker/250, f.lastWorker%250))
+	if f.SameID {
+		w.started = time.Now().UnixMilli()
+	}
+	f.bootLocked(w)
+}
+
+// newWorkerLocked returns a worker of the instance that runs nothing.
+func (f *Fleet) newWorkerLocked(inst *instance, id, address string) *Worker {
+	return &Worker{
+		fleet: f, instance: inst, id: id, address: address,
 		pool: inst.pool, runs: make(map[work.TaskID]*run), highestRun: make(map[work.TaskID]int64),
 		bootedAt: time.Now(), clockRate: 1 - f.random.Float64()*maxClockLag, clockOffset: time.Duration(f.random.IntN(1000)) * time.Second,
 		changed: make(chan struct{}), capacity: inst.capacity,
 	}
-	inst.worker = w
+}
+
+// bootLocked starts the worker, which registers at once.
+func (f *Fleet) bootLocked(w *Worker) {
+	w.instance.worker = w
 	f.workers[w.address] = w
 	w.register()
 	go w.sendHeartbeats()
@@ -140,10 +155,10 @@
 	inst.worker, inst.previous = nil, w
 	w.endLocked()
 	if deregister {
-		f.store.Remove(w.key())
+		f.removeRegistrationLocked(w)
 		return
 	}
-	time.AfterFunc(registrationTTLHeartbeats*f.Times.Heartbeat, func() { f.store.Remove(w.key()) })
+	f.expireRegistration(w)
 }
 
 // registrationTTLHeartbeats is the number of heartbeat intervals after which the registration of a silent worker
@@ -169,7 +184,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if inst.state == provider.Down && !f.stopped {
-			f.startWorkerLocked(inst)
+			f.startAgainLocked(inst)
 		}
 	})
 }
@@ -196,7 +211,7 @@
 			continue
 		}
 		w.register()
-		time.AfterFunc(registrationTTLHeartbeats*f.Times.Heartbeat, func() { f.store.Remove(w.key()) })
+		f.expireRegistration(w)
 	}
 }
 
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -30,8 +30,10 @@
 	fleet    *Fleet
 	instance *instance
 	id       string
-	address  string
-	pool     string
+	// started is when the worker booted, as it says of itself, 0 if it doesn't.
+	started int64
+	address string
+	pool    string
 	// capacity is what the worker reports of itself, past what it reported before.
 	capacity  work.Size
 	past      []pastCapacity
@@ -104,7 +106,7 @@
 	w.sequence++
 	inst := w.instance
 	value, _ := json.Marshal(worker.Registration{
-		ID: w.id, Pool: w.pool, Address: w.address, DataCentre: inst.dataCentre, Labels: []string{inst.rack}, Rack: inst.rack,
+		ID: w.id, Started: w.started, Pool: w.pool, Address: w.address, DataCentre: inst.dataCentre, Labels: []string{inst.rack}, Rack: inst.rack,
 		Capacity: w.capacity, Draining: w.draining, Clock: w.clock(), Instance: inst.id, Sequence: w.sequence,
 	})
 	w.fleet.store.Put(table.Write{Key: w.key(), Value: value})
@@ -154,7 +156,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if f.partitioned[storeCaller][dataCentre] {
-				f.store.Remove(w.key())
+				f.removeRegistrationLocked(w)
 			}
 		})
 	}
@@ -305,7 +307,7 @@
 	w.updateLocked()
 	w.recordLapse()
 	if w.fenced(o.Token) {
-		return worker.Status{Reply: worker.Reply{Clock: w.clock(), Refusal: worker.Fenced}}, w.changed, true
+		return worker.Status{Reply: worker.Reply{Clock: w.clock(), Refusal: worker.Fenced, Started: w.started}}, w.changed, true
 	}
 	if o.LeaseEnd > 0 {
 		w.extendLease(o.LeaseEnd)
@@ -318,7 +320,7 @@
 	listed := w.ends[:min(len(w.ends), f.MaxListedEnds)]
 	f.Checker.recordListed(listed)
 	w.scheduleLocked()
-	status := worker.Status{Reply: worker.Reply{Clock: w.clock()}, Ended: slices.Clone(listed), MoreEnds: len(listed) == f.MaxListedEnds}
+	status := worker.Status{Reply: worker.Reply{Clock: w.clock(), Started: w.started}, Ended: slices.Clone(listed), MoreEnds: len(listed) == f.MaxListedEnds}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.Run{Task: r.task, Run: r.number, Checkpoint: r.checkpoint(), Percent: r.percent(), Load: -1})
 	}
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -103,7 +103,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.ended {
-		return worker.Reply{}, false
+		// A later boot under the ID carries it out.
+		w = w.successorLocked()
+		if w == nil {
+			return worker.Reply{}, false
+		}
 	}
 	w.updateLocked()
 	reply := handle(w)
--- a/keel/relay/compact.go
+++ b/keel/relay/compact.go
@@ -51,6 +51,7 @@
 	resultPartial
 	resultEnded
 	resultMoreEnds
+	resultStarted
 )
 
 // The fields of Failure.
@@ -213,6 +214,7 @@
 	out = appendText(out, resultRefusal, r.Refusal)
 	out = appendBool(out, resultPartial, r.Partial)
 	out = appendBool(out, resultMoreEnds, r.MoreEnds)
+	out = appendInt(out, resultStarted, r.Started)
 	var scratch []byte
 	for i := range r.Running {
 		scratch = r.Running[i].appendTo(scratch[:0])
@@ -270,6 +272,8 @@
 			r.Partial = f.value != 0
 		case resultMoreEnds:
 			r.MoreEnds = f.value != 0
+		case resultStarted:
+			r.Started = f.int()
 		case resultRunning:
 			r.Running = append(r.Running, Run{})
 			return r.Running[len(r.Running)-1].decode(f.bytes)
--- a/keel/relay/message.go
+++ b/keel/relay/message.go
@@ -99,6 +99,8 @@
 	Ended   []End `json:"n,omitempty"`
 	// MoreEnds reports that the worker may have ends after these.
 	MoreEnds bool `json:"m,omitempty"`
+	// Started is when the worker booted, 0 if its response doesn't say or the relay's build doesn't pass it on.
+	Started int64 `json:"b,omitempty"`
 }
 
 // Failure is an error of a call to a worker.
@@ -150,7 +152,7 @@
 		failure := fault.As(err)
 		return Result{ID: id, Failure: &Failure{Kind: failure.Kind().String(), Outcome: string(failure.Outcome()), Text: failure.Text()}}
 	}
-	result := Result{ID: id, ClockMicros: status.Clock.Microseconds(), Refusal: string(status.Refusal), Partial: status.Partial, MoreEnds: status.MoreEnds}
+	result := Result{ID: id, ClockMicros: status.Clock.Microseconds(), Refusal: string(status.Refusal), Partial: status.Partial, MoreEnds: status.MoreEnds, Started: status.Started}
 	for _, r := range status.Running {
 		result.Running = append(result.Running, Run{Task: r.Task.String(), Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, Load: r.Load})
 	}
@@ -169,7 +171,7 @@
 		}
 		return worker.Status{}, fault.New(kind, "%s", r.Failure.Text).WithOutcome(fault.Outcome(r.Failure.Outcome))
 	}
-	status := worker.Status{Reply: worker.Reply{Clock: time.Duration(r.ClockMicros) * time.Microsecond, Refusal: worker.Refusal(r.Refusal)}, Partial: r.Partial, MoreEnds: r.MoreEnds}
+	status := worker.Status{Reply: worker.Reply{Clock: time.Duration(r.ClockMicros) * time.Microsecond, Refusal: worker.Refusal(r.Refusal), Started: r.Started}, Partial: r.Partial, MoreEnds: r.MoreEnds}
 	for _, run := range r.Running {
 		id, ok := work.ParseTaskID(run.Task)
 		if !ok {
--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -21,6 +21,7 @@
 	isUnresponsive   unavailability = "unresponsive"
 	hasOrphans       unavailability = "runs_without_job"
 	hasLateStarts    unavailability = "late_starts"
+	hasEndedBoot     unavailability = "booted_again"
 	hasStartInDoubt  unavailability = "start_in_doubt"
 	isAvoided        unavailability = "avoided"
 	hasFailures      unavailability = "failures"
@@ -92,6 +93,9 @@
 		return hasOrphans
 	case len(s.lateStarts[w.ID]) > 0:
 		return hasLateStarts
+	case !w.isBootSettled() || w.Registration.Boot().IsOther(w.boot):
+		// A later boot may be of another kind than its registration says that is read first.
+		return hasEndedBoot
 	case w.startUnsettled:
 		return hasStartInDoubt
 	case now < w.avoidUntil:
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -9,6 +9,7 @@
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
 )
 
 const (
@@ -136,13 +137,18 @@
 // recordCrash records a crash under each run of the worker and returns the jobs of these runs. If it isn't known whether the worker
 // has crashed, only the runs count that would be its likeliest cause.
 func (s *Scheduler) recordCrash(w *workerState, reason string, unconfirmed bool) []*job {
-	runs := slices.DeleteFunc(sortedRuns(w.runs), func(r *run) bool { return r.awaitingEndSince != 0 })
+	return s.recordCrashUnder(w, w.boot, sortedRuns(w.runs), reason, unconfirmed)
+}
+
+// recordCrashUnder is recordCrash for a boot of the worker and the runs that it had.
+func (s *Scheduler) recordCrashUnder(w *workerState, boot worker.Boot, all []*run, reason string, unconfirmed bool) []*job {
+	runs := slices.DeleteFunc(slices.Clone(all), func(r *run) bool { return r.awaitingEndSince != 0 })
 	limit := suspectLimit(runs)
 	suspects := 0
 	var jobs []*job
 	for _, r := range runs {
 		c := s.crashedRun(r, limit)
-		c.Unconfirmed = unconfirmed
+		c.Unconfirmed, c.Started = unconfirmed, boot.Started
 		if r.survived() >= provenTime || unconfirmed && !c.Likely || r.task.done || !r.task.job().open() {
 			continue
 		}
--- a/keel/schedule/doubt.go
+++ b/keel/schedule/doubt.go
@@ -10,6 +10,8 @@
 
 // doubt is a worker that was silent until its lease expired, with the jobs of the runs that may have crashed it.
 type doubt struct {
+	// boot is the boot that was silent.
+	boot     worker.Boot
 	instance string
 	since    time.Duration
 	jobs     map[*job]bool
@@ -18,7 +20,7 @@
 func (s *Scheduler) addDoubt(c work.CrashedRun, j *job) {
 	d := s.doubts[c.Worker]
 	if d == nil {
-		d = &doubt{instance: c.Instance, since: s.Now(), jobs: make(map[*job]bool)}
+		d = &doubt{boot: worker.Boot{ID: c.Worker, Started: c.Started}, instance: c.Instance, since: s.Now(), jobs: make(map[*job]bool)}
 		s.doubts[c.Worker] = d
 	}
 	d.jobs[j] = true
@@ -57,7 +59,7 @@
 			if s.fleet.isGone(d.instance) {
 				s.resolveDoubt(id, false)
 			}
-		case i.State == provider.Down || i.State == provider.Up && i.Worker != id:
+		case i.State == provider.Down || i.State == provider.Up && s.isOtherBoot(i.Worker, d.boot):
 			s.resolveDoubt(id, true)
 		default:
 			s.resolveDoubt(id, false)
@@ -65,6 +67,13 @@
 	}
 }
 
+// isOtherBoot reports whether the worker that the instance list shows is another one than the boot, or another boot of the same one by
+// its registration.
+func (s *Scheduler) isOtherBoot(id string, boot worker.Boot) bool {
+	stored := s.registrations[id]
+	return id != boot.ID || stored.Boot().IsOther(boot)
+}
+
 // resolveReplacedDoubt applies that a worker has registered on the instance of one that was silent and isn't registered.
 func (s *Scheduler) resolveReplacedDoubt(r worker.Registration) {
 	for id, d := range s.doubts {
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -249,6 +249,10 @@
 // registration, whose row doesn't change any more, and a list that was requested more than listLag later shows it.
 func (s *Scheduler) restoreListed(i provider.Instance, sent time.Duration) {
 	stored, ok := s.registrations[i.Worker]
+	if ok && stored.Started != 0 && stored.Pool != i.Pool {
+		// It is the registration of an earlier boot in another pool.
+		return
+	}
 	if ok && i.State == provider.Up && s.workers[i.Worker] == nil && stored.removedAt+listLag < sent {
 		s.register(stored.Registration)
 	}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -38,8 +38,8 @@
 	w.renewing = true
 	now := s.Now()
 	w.renewedAt = now
-	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
-	if w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
+	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acknowledgement(now)}
+	if w.isBootSettled() && w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
 		if !w.startUnsettled {
 			order.LeaseEnd = s.extendLease(w)
 		}
@@ -58,6 +58,9 @@
 		}
 		s.Metrics.addRenewal()
 		s.recordBrokenCall(w, now, order.Wait+renewTimeoutMargin, err)
+		if err == nil && status.Refusal == worker.Accepted {
+			w.recordAcknowledged(order.Acknowledged)
+		}
 		s.handleRenewal(w, now, status, err)
 	})
 }
@@ -80,6 +83,7 @@
 		s.scheduleRenewal(w, renewRetry)
 		return
 	}
+	s.checkBoot(w, status.Reply)
 	s.recordClock(w, status.Reply)
 	switch status.Refusal {
 	case worker.Accepted:
@@ -137,7 +141,7 @@
 	case len(w.ends) > 0:
 		// The next renewal follows as soon as these ends are stored; this one is the fallback.
 		s.scheduleRenewal(w, renewRetry)
-	case len(w.runs)+len(w.orphans) > 0:
+	case len(w.runs)+len(w.orphans) > 0 || w.awaitsAcknowledgement() || w.endedBoot != nil:
 		s.scheduleRenewal(w, minRenewInterval)
 	}
 }
@@ -184,6 +188,7 @@
 // request.
 func (s *Scheduler) applyStatus(w *workerState, sent time.Duration, status worker.Status) {
 	w.listings++
+	w.heardAt = s.Now()
 	for _, live := range status.Running {
 		s.applyRunning(w, live)
 	}
@@ -194,6 +199,9 @@
 		}
 	}
 	s.recordMoreEnds(w, status)
+	if w.endedBoot != nil && !status.Partial && !status.MoreEnds {
+		s.settleEndedBoot(w, sent)
+	}
 	if !status.Partial {
 		s.removeUnlisted(w, sent, status)
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -182,6 +182,9 @@
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
+		if err != nil && fault.As(err).Outcome() != fault.NotRun {
+			s.noteUnanswered(r)
+		}
 		if r.removed {
 			return
 		}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -84,6 +84,8 @@
 	// The worker gets neither a lease nor tasks until it has accepted an order to stop each of them. It may have been
 	// removed and registered again meanwhile.
 	lateStarts map[string]map[work.TaskID]int64
+	// unanswered holds, by worker and task, the start orders without a response that a later boot of the worker may carry out.
+	unanswered map[string]map[work.TaskID]unansweredStart
 	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
 	doubts map[string]*doubt
 	// silentExpiries holds, by data centre, when the lease of a silent worker last expired.
@@ -161,6 +163,7 @@
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
 	s.lateStarts = make(map[string]map[work.TaskID]int64)
+	s.unanswered = make(map[string]map[work.TaskID]unansweredStart)
 	s.silentExpiries = make(map[string]time.Duration)
 	s.givenUp = make(map[*job]bool)
 	s.doubts = make(map[string]*doubt)
--- a/keel/schedule/stop.go
+++ b/keel/schedule/stop.go
@@ -44,8 +44,14 @@
 			return
 		}
 		order := worker.StopOrder{Task: r.task.id(), Run: r.number, Token: s.Epoch}
+		boot := r.worker.boot
 		s.callStop(r.worker.target(), order, func(reply worker.Reply, err error) {
-			if !r.removed {
+			switch {
+			case r.removed:
+			case r.inDoubt && r.worker.boot.IsOther(boot):
+				// An earlier boot may have accepted the order, which doesn't bind the present one.
+				s.retryStop(r)
+			default:
 				s.handleStopReply(r, reply, err)
 			}
 		})
@@ -135,12 +141,17 @@
 	if r.confirmedAt != 0 {
 		return
 	}
-	late := s.lateStarts[r.worker.ID]
+	s.addLateStart(r.worker.ID, r.task.id(), r.number)
+}
+
+// addLateStart records that the worker may still carry out the start of a run.
+func (s *Scheduler) addLateStart(id string, task work.TaskID, number int64) {
+	late := s.lateStarts[id]
 	if late == nil {
 		late = make(map[work.TaskID]int64)
-		s.lateStarts[r.worker.ID] = late
+		s.lateStarts[id] = late
 	}
-	late[r.task.id()] = r.number
+	late[task] = max(number, late[task])
 }
 
 // stopLateStarts sends the orders after which the worker no longer carries out its late start orders.
@@ -157,9 +168,11 @@
 			return
 		}
 		order := worker.StopOrder{Task: late.Task, Run: late.Run, Token: s.Epoch}
+		boot := w.boot
 		s.callStop(w.target(), order, func(reply worker.Reply, err error) {
 			switch {
-			case !isPending():
+			case !isPending() || w.boot.IsOther(boot):
+				// After another boot it has been sent again.
 			case err == nil && reply.Refusal == worker.OtherBoot:
 				s.removeReplaced(w)
 			case err == nil && (reply.Refusal == worker.Accepted || reply.Refusal == worker.Superseded):
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -34,6 +34,8 @@
 type cachedTicket struct {
 	ticket  string
 	expires time.Duration
+	// boot is the worker's boot for which the ticket was issued.
+	boot worker.Boot
 }
 
 // allows reports whether the step may start on the worker.
@@ -42,7 +44,7 @@
 		return true
 	}
 	t, ok := st.byWorker[w.ID]
-	return ok && now < t.expires
+	return ok && now < t.expires && !t.boot.IsOther(w.boot)
 }
 
 func (st *stepTickets) forWorker(w *workerState) string { return st.byWorker[w.ID].ticket }
@@ -83,9 +85,11 @@
 func (s *Scheduler) requestTickets(step *stepState, eligible []*workerState, now time.Duration) {
 	st := &step.tickets
 	var ids []string
+	boots := make(map[string]worker.Boot)
 	for _, w := range eligible {
 		if len(ids) < maxTicketWorkers && !st.denied[w.ID] && !st.allows(w, now) && step.permits(w, 1) && w.free().Holds(step.size()) {
 			ids = append(ids, w.ID)
+			boots[w.ID] = w.boot
 		}
 	}
 	if len(ids) == 0 {
@@ -112,7 +116,7 @@
 			}
 			expires := s.Now() + time.Duration(float64(policy.TicketValidity)*(1-ticketValidityMargin))
 			for _, t := range tickets {
-				st.byWorker[t.Worker] = cachedTicket{ticket: t.Ticket, expires: expires}
+				st.byWorker[t.Worker] = cachedTicket{ticket: t.Ticket, expires: expires, boot: boots[t.Worker]}
 			}
 			for _, id := range ids {
 				_, ok := st.byWorker[id]
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -72,6 +72,15 @@
 	// reclaimedUntil is the time until which the worker gets no tasks, because its instance is wanted in another pool.
 	reclaimedUntil time.Duration
 
+	// boot is the boot of the worker that sent its last list of runs, or wrote its first registration before that; endedBoot is an
+	// earlier one whose runs aren't settled, nil if there is none.
+	boot      worker.Boot
+	endedBoot *endedBoot
+	// bootDoubted is set from a hint at another boot until the next list of runs.
+	bootDoubted bool
+	// heardAt is when the worker last listed runs or ends.
+	heardAt time.Duration
+
 	// clockValue is the worker's clock at the time clockReadAt by the scheduler's clock.
 	clockValue, clockReadAt time.Duration
 	// aliveAt is the latest time at which the worker is known to have been alive.
@@ -105,8 +114,10 @@
 	// listings counts the worker's responses that list runs.
 	listings int64
 	// acked is the number of the last end that the worker may discard; ends holds the later ones in order.
-	acked   int64
-	ends    []pendingEnd
+	acked int64
+	// ackedThere is the same as far as the worker is known to have got it.
+	ackedThere int64
+	ends       []pendingEnd
 	lastEnd int64
 	// moreEnds is set while the worker may have ends after lastEnd that it lists once the earlier ones are acknowledged.
 	moreEnds bool
@@ -178,6 +189,9 @@
 
 // recordClock records the worker's clock from a response.
 func (s *Scheduler) recordClock(w *workerState, reply worker.Reply) {
+	if w.hintsAtBoot(reply, s.Now()) {
+		s.doubtBoot(w)
+	}
 	if reply.Refusal != worker.OtherBoot {
 		w.aliveAt = s.Now()
 	}
@@ -195,6 +209,11 @@
 			perStep: make(map[*stepState]int), idleSince: s.Now(),
 		}
 		s.workers[r.ID] = w
+		w.boot = r.Boot()
+		s.expectLateStarts(w)
+	}
+	if w.boot.Started == 0 {
+		w.boot = r.Boot()
 	}
 	return w
 }
@@ -244,6 +263,9 @@
 }
 
 func (s *Scheduler) register(r worker.Registration) {
+	if s.isOutdated(r) {
+		return
+	}
 	s.registrations[r.ID] = storedRegistration{Registration: r, removedAt: s.registrations[r.ID].removedAt}
 	w := s.workers[r.ID]
 	known := w != nil && w.registered
@@ -275,6 +297,9 @@
 	if !w.fenced && !w.renewing {
 		s.renew(w)
 	}
+	if r.Boot().IsOther(w.boot) {
+		s.doubtBoot(w)
+	}
 }
 
 // updateWorkerOf sets the latest worker of an instance. A new registration does not prove that the previous worker has
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -48,6 +48,8 @@
 	// Worker and Instance are the IDs of the worker and its instance.
 	Worker   string `json:"w"`
 	Instance string `json:"m,omitempty"`
+	// Started is when the worker had booted (worker.Boot.Started), 0 if that isn't known.
+	Started int64 `json:"b,omitempty"`
 	// SurvivedMillis is for how many milliseconds the run is known to have lasted.
 	SurvivedMillis int64 `json:"ms,omitempty"`
 	// Suspect reports that the run may have caused the crash, because it had begun shortly before; Likely that of the runs on the
--- a/keel/worker/order.go
+++ b/keel/worker/order.go
@@ -77,6 +77,8 @@
 	// Clock is the worker's clock, 0 if the response doesn't contain it.
 	Clock   time.Duration
 	Refusal Refusal
+	// Started is when the worker booted that responded (Boot.Started), 0 if the response doesn't contain it.
+	Started int64
 }
 
 // RenewOrder extends a worker's lease and queries its runs.
--- a/keel/worker/registration.go
+++ b/keel/worker/registration.go
@@ -8,8 +8,10 @@
 
 // Registration is the row in which a worker describes itself in the store.
 type Registration struct {
-	// ID identifies this boot of the instance and is never reused.
+	// ID identifies the worker. Where Started is 0, each boot of the instance has another one, which is never reused.
 	ID string
+	// Started is when the worker booted under its ID, in milliseconds since 1970, 0 if the registration doesn't contain it.
+	Started int64
 	// Pool is the name of the pool that the worker belongs to.
 	Pool       string
 	Address    string
@@ -30,6 +32,9 @@
 	Sequence uint64
 }
 
+// Boot returns the boot that wrote the registration.
+func (r *Registration) Boot() Boot { return Boot{ID: r.ID, Started: r.Started} }
+
 // HasLabel reports whether the worker has the label.
 func (r *Registration) HasLabel(label string) bool {
 	for _, l := range r.Labels {
