--- a/keel/emulator/restart.go
+++ b/keel/emulator/restart.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"samphirekeel.example/keel/provider"
-	"samphirekeel.example/keel/work"
 )
 
 // startAgainLocked starts a worker on an instance that was down: under the ID that the last one had if the fleet's workers keep
@@ -22,6 +21,7 @@
 // rebootLocked starts a worker under the ID and at the address of the last one. Its clock and the numbers of its ends begin anew.
 func (f *Fleet) rebootLocked(inst *instance, last *Worker, started int64) {
 	w := f.newWorkerLocked(inst, last.id, last.address)
+	w.laterBoot = true
 	w.started, w.unreachable, w.silent, w.disturbed = started, last.unreachable, last.silent, last.disturbed
 	f.bootLocked(w)
 }
@@ -76,9 +76,11 @@
 	})
 }
 
-// EndCount returns the number of ends of the task's runs, in whatever way.
-func (c *Checker) EndCount(id work.TaskID) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.jobs[id.Job].task(id).ends)
+// unheardTime is the time from a scheduler's first list of a boot's runs until the boot has got the orders that follow from it.
+const unheardTime = 150 * time.Millisecond
+
+// startsUnasked reports whether the worker carries out a late order that an earlier boot got, before any scheduler can have told
+// the present one that it is void.
+func (w *Worker) startsUnasked() bool {
+	return w.executesLate && w.laterBoot && (w.heardAt.IsZero() || time.Since(w.heardAt) < unheardTime)
 }
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -47,6 +47,9 @@
 	sequence  uint64
 	// executesLate is set while an order is carried out that was delayed by the fleet's lateShare.
 	executesLate bool
+	// laterBoot is set for a boot under the ID of an earlier one, and heardAt is when a scheduler first listed its runs.
+	laterBoot bool
+	heardAt   time.Time
 
 	// highestToken is the highest fencing token that the worker has seen.
 	highestToken int64
@@ -304,6 +307,9 @@
 		return worker.Status{}, nil, false
 	}
 	f.Renewals++
+	if w.heardAt.IsZero() {
+		w.heardAt = time.Now()
+	}
 	w.updateLocked()
 	w.recordLapse()
 	if w.fenced(o.Token) {
--- a/keel/schedule/boot.go
+++ b/keel/schedule/boot.go
@@ -172,8 +172,13 @@
 	return reply.Clock > 0 && w.clockReadAt != 0 && reply.Clock+minClockSetback < w.clockValue+time.Duration(float64(now-w.clockReadAt)*(1-maxClockDrift))
 }
 
-// doubtBoot makes the worker's next renewal show which boot it is of before anything else is ordered there.
+// doubtBoot makes the worker's next renewal show which boot it is of before anything else is ordered there. One that an earlier
+// boot may be holding open is given up.
 func (s *Scheduler) doubtBoot(w *workerState) {
+	if w.renewing && !w.bootDoubted {
+		w.renewing = false
+		w.renewals++
+	}
 	w.bootDoubted = true
 	s.scheduleRenewal(w, 0)
 }
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -36,6 +36,8 @@
 		return
 	}
 	w.renewing = true
+	w.renewals++
+	renewal := w.renewals
 	now := s.Now()
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acknowledgement(now)}
@@ -49,7 +51,7 @@
 		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
 	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
-		if s.epochEnded() {
+		if s.epochEnded() || renewal != w.renewals {
 			return
 		}
 		w.renewing = false
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -106,6 +106,8 @@
 	// perStep counts the worker's runs of each step.
 	perStep map[*stepState]int
 
+	// renewals counts the renewals and those that were given up before their response.
+	renewals       int64
 	renewing       bool
 	renewalPlanned bool
 	renewedAt      time.Duration
@@ -118,7 +120,7 @@
 	// ackedThere is the same as far as the worker is known to have got it.
 	ackedThere int64
 	ends       []pendingEnd
-	lastEnd int64
+	lastEnd    int64
 	// moreEnds is set while the worker may have ends after lastEnd that it lists once the earlier ones are acknowledged.
 	moreEnds bool
 	// orderPending is set while an order that ends the worker may be in flight to its instance.
