--- a/keel/emulator/invariants.go
+++ b/keel/emulator/invariants.go
@@ -108,6 +108,9 @@
 			}
 		}
 	}
+	if r.unasked {
+		return
+	}
 	task.ends = append(task.ends, endRecord{worker: w, number: w.lastEnd, kind: kind, at: time.Now()})
 }
 
--- a/keel/emulator/restart.go
+++ b/keel/emulator/restart.go
@@ -76,9 +76,18 @@
 	})
 }
 
-// unheardTime is the time from a scheduler's first list of a boot's runs until the boot has got the orders that follow from it.
+// unheardTime is the time from a boot's first response to a renewal until it has got the orders that follow from it.
 const unheardTime = 150 * time.Millisecond
 
+// recordHeard records that a scheduler has got a response to a renewal.
+func (f *Fleet) recordHeard(w *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.heardAt.IsZero() {
+		w.heardAt = time.Now()
+	}
+}
+
 // startsUnasked reports whether the worker carries out a late order that an earlier boot got, before any scheduler can have told
 // the present one that it is void.
 func (w *Worker) startsUnasked() bool {
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -47,7 +47,7 @@
 	sequence  uint64
 	// executesLate is set while an order is carried out that was delayed by the fleet's lateShare.
 	executesLate bool
-	// laterBoot is set for a boot under the ID of an earlier one, and heardAt is when a scheduler first listed its runs.
+	// laterBoot is set for a boot under the ID of an earlier one, and heardAt is when it first responded to a renewal.
 	laterBoot bool
 	heardAt   time.Time
 
@@ -98,6 +98,8 @@
 	cpuShare float64
 	// gangIncomplete reports that some members of the gang haven't been started; until then the run makes no progress.
 	gangIncomplete bool
+	// unasked is set for a run that began although no scheduler could have prevented it (Worker.startsUnasked).
+	unasked bool
 }
 
 func (w *Worker) clock() time.Duration {
@@ -233,6 +235,7 @@
 		return
 	}
 	r := &run{task: o.Task, number: o.Run, step: step, started: time.Now(), total: total, cpuShare: 1}
+	r.unasked = w.startsUnasked()
 	r.fails = checker.poisoned(o.Task)
 	if o.Checkpoint != "" {
 		ms, _ := strconv.ParseInt(strings.SplitN(o.Checkpoint, "-", 2)[0], 16, 64)
@@ -307,9 +310,6 @@
 		return worker.Status{}, nil, false
 	}
 	f.Renewals++
-	if w.heardAt.IsZero() {
-		w.heardAt = time.Now()
-	}
 	w.updateLocked()
 	w.recordLapse()
 	if w.fenced(o.Token) {
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -132,6 +132,7 @@
 			if !sleep(ctx, orderLatency) {
 				return worker.Status{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
 			}
+			f.recordHeard(w)
 			if o.EndsSuffice && len(status.Ended) > 0 {
 				status.Running, status.Partial = nil, true
 			}
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -41,7 +41,7 @@
 	now := s.Now()
 	w.renewedAt = now
 	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acknowledgement(now)}
-	if w.isBootSettled() && w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
+	if s.mayExtendLease(w) {
 		if !w.startUnsettled {
 			order.LeaseEnd = s.extendLease(w)
 		}
@@ -67,6 +67,12 @@
 	})
 }
 
+// mayExtendLease reports whether the worker's next renewal may extend its lease, but for starts with an unknown outcome.
+func (s *Scheduler) mayExtendLease(w *workerState) bool {
+	responds := w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed
+	return responds && w.isBootSettled() && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0
+}
+
 // sendRenewal sends the renewal and calls done on the control loop when it has ended, which may be after the end of the
 // epoch.
 func (s *Scheduler) sendRenewal(target worker.Target, order worker.RenewOrder, done func(worker.Status, error)) {
