--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -48,6 +48,8 @@
 	Relayed bool `json:"relayed"`
 	// Pools is the number of instances of each pool in each data centre; the pool named spare is the spare pool.
 	Pools map[string]int `json:"pools"`
+	// SameID makes workers keep their ID when they start again after a crash.
+	SameID bool `json:"same_id"`
 	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
 	ListedEnds int        `json:"listed_ends"`
 	Seeds      []uint64   `json:"seeds"`
@@ -183,6 +185,7 @@
 // build adds the pools, the queues and the entries.
 func (p *dayRun) build() {
 	capacity := work.Size{MilliCores: 16000, MemoryMB: 32768}
+	p.fleet.SameID = p.day.SameID
 	if p.day.ListedEnds > 0 {
 		p.fleet.MaxListedEnds = p.day.ListedEnds
 	}
@@ -438,6 +441,7 @@
 		"store":              p.storeOutage,
 		"forget":             func(*dayFault, string, time.Duration) { p.store.DropHistory() },
 		"crash":              p.crash,
+		"restart_workers":    p.restartWorkers,
 		"fails":              p.setBehaviour,
 		"hangs":              p.setBehaviour,
 		"slow":               p.setBehaviour,
@@ -510,6 +514,20 @@
 	}
 }
 
+// restartWorkers restarts workers under their ID, some of them twice and some as if their time of day had been set back.
+func (p *dayRun) restartWorkers(f *dayFault, _ string, length time.Duration) {
+	for i, id := range p.instances(f) {
+		p.fleet.Restart(id, time.Now().UnixMilli())
+		time.Sleep(length)
+		if i%3 == 0 {
+			p.fleet.Restart(id, time.Now().UnixMilli())
+		}
+		if i%4 == 3 {
+			p.fleet.Restart(id, time.Now().Add(-time.Hour).UnixMilli())
+		}
+	}
+}
+
 // shrink makes workers report less capacity for the duration of the fault.
 func (p *dayRun) shrink(f *dayFault, _ string, length time.Duration) {
 	ids := p.instances(f)
--- a/entry/site/drawn_test.go
+++ b/entry/site/drawn_test.go
@@ -85,6 +85,10 @@
 // beside crashes of workers and racks, unreachable workers, changes of the leader and outages of the store and the instance list.
 func TestDrawnCrashDays(t *testing.T) { playDrawn(t, "testdata/drawn_crashes.json") }
 
+// TestDrawnRestartDays plays days on which workers start again under their ID, once or twice and in series, beside changes of the
+// leader, lost responses of the store, late orders, late registrations, unreachable workers and moves.
+func TestDrawnRestartDays(t *testing.T) { playDrawn(t, "testdata/drawn_restarts.json") }
+
 func playDrawn(t *testing.T, file string) {
 	data, err := os.ReadFile(file)
 	assert.NilError(t, err)
