--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -103,7 +103,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.ended {
-		return worker.Reply{}, false
+		// A later boot under the ID carries it out.
+		w = w.successorLocked()
+		if w == nil {
+			return worker.Reply{}, false
+		}
 	}
 	w.updateLocked()
 	reply := handle(w)
@@ -128,6 +132,7 @@
 			if !sleep(ctx, orderLatency) {
 				return worker.Status{}, fault.New(fault.EndpointFailed, "emulated response after the deadline").WithOutcome(fault.Unknown)
 			}
+			f.recordHeard(w)
 			if o.EndsSuffice && len(status.Ended) > 0 {
 				status.Running, status.Partial = nil, true
 			}
--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -42,6 +42,7 @@
 		{"Tenants (1100)", tenantEvents},
 		{"Caps and shares of tenants (1150)", shareEvents},
 		{"Lease of the leader (1250)", leaseEvents},
+		{"Workers that boot again (1200)", bootEvents},
 	}
 }
 
