--- a/keel/emulator/interference.go
+++ b/keel/emulator/interference.go
@@ -28,7 +28,7 @@
 	strongest := make(map[string]float64)
 	for _, other := range w.runs {
 		disturbance := w.fleet.disturbances[[2]string{r.step.Image, other.step.Image}]
-		if other != r && disturbance > 1 && !(reserved && other.step.BestEffort) {
+		if other != r && disturbance > 1 && (!reserved || !other.step.BestEffort) {
 			strongest[other.step.Image] = max(strongest[other.step.Image], 1+(disturbance-1)*other.cpuShare)
 		}
 	}
