Placement of best-effort tasks: penalties count as such

Cause: the whole cost of a worker was negated for a best-effort step, so that a remote data centre or a wrong rack counted as a gain (docs/QUESTIONS.md). Change: only the free share is negated. TestBestEffortPrefersHome failed before.

--- a/keel/schedule/cost.go
+++ b/keel/schedule/cost.go
@@ -19,8 +19,15 @@
 
 // cost returns the placement cost of the step on the worker; the lowest cost is selected.
 func (pl *planner) cost(step *stepState, w *workerState, free work.Size, reserved reservations) float64 {
-	cost := share(free.MilliCores, w.Capacity.MilliCores)
 	spec := step.spec
+	cost := share(free.MilliCores, w.Capacity.MilliCores)
+	if spec.BestEffort {
+		// Best-effort tasks use idle processor time, so the emptiest worker is preferred.
+		cost = crowdingCost*float64(w.perStep[step]) - cost
+		if w.pace.strained() {
+			cost += throttledCost
+		}
+	}
 	if home := step.occurrence.job.Home; home != "" && home != w.DataCentre {
 		cost += remoteDataCentreCost
 	}
@@ -33,13 +40,6 @@
 	if spec.LongRunning && pl.s.maintenanceDue(w.Instance) {
 		cost += maintenanceDueCost
 	}
-	if spec.BestEffort {
-		// Best-effort tasks use idle processor time, so the emptiest worker is preferred.
-		cost = -cost + crowdingCost*float64(w.perStep[step])
-		if w.pace.strained() {
-			cost += throttledCost
-		}
-	}
 	if len(pl.s.separation.conflicts) > 0 {
 		cost += pl.s.separationCost(step, w)
 	}
--- a/keel/schedule/separation_test.go
+++ b/keel/schedule/separation_test.go
@@ -235,3 +235,25 @@
 	}
 	assert.Equal(t, p.percent(), fullSpeedPercent)
 }
+
+// TestBestEffortPrefersHome guards against best-effort tasks that start in a remote data centre or on a wrong rack because
+// the penalties of such workers count as gains.
+func TestBestEffortPrefersHome(t *testing.T) {
+	step := &stepState{
+		spec:       &work.Step{BestEffort: true, DataRack: "r1", Size: work.Size{MilliCores: 1000}},
+		occurrence: &occurrence{job: &job{Job: &work.Job{Home: "a"}}},
+	}
+	newWorker := func(dataCentre, rack string) *workerState {
+		w := &workerState{perStep: make(map[*stepState]int)}
+		w.DataCentre, w.Rack, w.Capacity = dataCentre, rack, work.Size{MilliCores: 16000}
+		return w
+	}
+	pl := &planner{s: &Scheduler{}}
+	cost := func(w *workerState) float64 { return pl.cost(step, w, w.free(), nil) }
+	home := cost(newWorker("a", "r1"))
+	assert.Check(t, home < cost(newWorker("b", "r1")))
+	assert.Check(t, home < cost(newWorker("a", "r2")))
+	used := newWorker("a", "r1")
+	used.used.MilliCores = 8000
+	assert.Check(t, home < cost(used))
+}
