--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -40,6 +40,7 @@
 		{"Duties and platform (900)", dutyEvents},
 		{"Leader, tasks and workers (1000)", scheduleEvents},
 		{"Tasks that slow each other down (1350)", separationEvents},
+		{"Tenants (1100)", tenantEvents},
 	}
 }
 
