--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -68,6 +68,9 @@
 		return callOther
 	}
 	from, err := s.authorise(checkedConfig{config, current}, q, &ctx.Request.Header)
+	if config.Tenants != nil && !q.Public {
+		defer func() { s.tenants.observe(from.tenant, ctx.Response.StatusCode()) }()
+	}
 	if err != nil {
 		writeError(ctx, err)
 		return callOther
@@ -157,6 +160,9 @@
 	job, err := platform.DecodeJob(id, q.Name, body)
 	if err == nil {
 		job.Terms, job.Tenant = config.Terms(q), from.tenant
+		err = config.checkCap(job)
+	}
+	if err == nil {
 		err = s.submit(callCtx, job, from)
 	}
 	if err != nil {
@@ -270,7 +276,7 @@
 		return
 	}
 	s.Log.Write(event.CallUnanswered, event.Fields{
-		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.lease.Leader().Holder,
+		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.currentLeader().Holder,
 	})
 	writeError(ctx, err)
 }
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -19,7 +19,6 @@
 	"samphirekeel.example/keel/emulator"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/queue"
-	"samphirekeel.example/keel/tenant"
 	"samphirekeel.example/keel/work"
 )
 
@@ -49,6 +48,10 @@
 	Relayed bool `json:"relayed"`
 	// Pools is the number of instances of each pool in each data centre; the pool named spare is the spare pool.
 	Pools map[string]int `json:"pools"`
+	// Tenants is the number of tenants, which submit the jobs by turns; 0 for a configuration without tenants.
+	Tenants int `json:"tenants"`
+	// SameID makes workers keep their ID when they start again after a crash.
+	SameID bool `json:"same_id"`
 	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
 	ListedEnds int        `json:"listed_ends"`
 	Seeds      []uint64   `json:"seeds"`
@@ -104,6 +107,8 @@
 	SlowFactor int      `json:"slow"`
 	// Capacity is the share of their capacity that workers report while it is less than usual.
 	Capacity float64 `json:"capacity"`
+	// Harmless is set for a fault of which callers must notice nothing.
+	Harmless bool `json:"harmless"`
 }
 
 func TestDays(t *testing.T) {
@@ -136,7 +141,8 @@
 // dayRun is one run of a day with one seed.
 type dayRun struct {
 	*testCluster
-	day *day
+	day        *day
+	dayTenants dayTenants
 	// faultFree counts the jobs submitted in fault-free times, inTime and late those of them that have ended.
 	inTime, late, faultFree int
 }
@@ -149,10 +155,13 @@
 	maxJobTime = 3 * time.Second
 )
 
-// isFaultFree reports whether no fault affects a job submitted at the time: none begins within maxJobTime after it, and
+// isFaultFree reports whether no fault affects a job submitted at the time: none that isn't harmless begins within maxJobTime after it, and
 // none ended within recoveryTime before it.
 func (d *day) isFaultFree(at time.Duration) bool {
 	for _, f := range d.Faults {
+		if f.Harmless {
+			continue
+		}
 		from := time.Duration(f.At) - maxJobTime
 		to := time.Duration(f.At) + time.Duration(f.For) + recoveryTime
 		if at > from && at < to {
@@ -184,6 +193,7 @@
 // build adds the pools, the queues and the entries.
 func (p *dayRun) build() {
 	capacity := work.Size{MilliCores: 16000, MemoryMB: 32768}
+	p.fleet.SameID = p.day.SameID
 	if p.day.ListedEnds > 0 {
 		p.fleet.MaxListedEnds = p.day.ListedEnds
 	}
@@ -208,6 +218,7 @@
 			p.addEntry(fmt.Sprintf("%s-%d", dataCentre, i+1), dataCentre, true)
 		}
 	}
+	p.setTenants()
 	p.putConfig()
 }
 
@@ -360,7 +371,13 @@
 			time.Sleep(400 * time.Millisecond)
 			continue
 		}
+		from, ok := p.authoriseJob(e, job)
+		if !ok {
+			time.Sleep(400 * time.Millisecond)
+			continue
+		}
 		copied := *job
+		copied.Tenant = from.tenant
 		copied.Terms = e.terms(job.Queue)
 		if copied.Terms == nil {
 			// The entry's configuration lacks the queue.
@@ -368,7 +385,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := e.site.submit(ctx, &copied, caller{})
+		err := e.site.submit(ctx, &copied, from)
 		cancel()
 		if err == nil && !e.killed.Load() {
 			return true
@@ -393,7 +410,7 @@
 		e := p.pickEntry("", seed+attempt)
 		if e != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-			_, err := e.site.cancelJob(ctx, tenant.Access{}, id)
+			_, err := e.site.cancelJob(ctx, p.accessTo(id, false), id)
 			cancel()
 			if (err == nil || fault.IsKind(err, fault.NotExist)) && !e.killed.Load() {
 				p.checker.Cancelled(id)
@@ -412,7 +429,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	state, _, err := e.site.jobState(ctx, tenant.Access{}, id)
+	p.checkForeign(ctx, e, id)
+	state, _, err := e.site.jobState(ctx, p.accessTo(id, false), id)
 	switch {
 	case e.killed.Load():
 		return "", false
@@ -439,6 +457,7 @@
 		"store":              p.storeOutage,
 		"forget":             func(*dayFault, string, time.Duration) { p.store.DropHistory() },
 		"crash":              p.crash,
+		"restart_workers":    p.restartWorkers,
 		"fails":              p.setBehaviour,
 		"hangs":              p.setBehaviour,
 		"slow":               p.setBehaviour,
@@ -453,6 +472,7 @@
 		"instance_service":   p.instanceServiceOutage,
 		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
+		"withdraw":           p.withdrawKey,
 		"remove_queue": func(_ *dayFault, target string, length time.Duration) {
 			p.setRemoved("q-"+target, true)
 			time.Sleep(length)
@@ -511,6 +531,20 @@
 	}
 }
 
+// restartWorkers restarts workers under their ID, some of them twice and some as if their time of day had been set back.
+func (p *dayRun) restartWorkers(f *dayFault, _ string, length time.Duration) {
+	for i, id := range p.instances(f) {
+		p.fleet.Restart(id, time.Now().UnixMilli())
+		time.Sleep(length)
+		if i%3 == 0 {
+			p.fleet.Restart(id, time.Now().UnixMilli())
+		}
+		if i%4 == 3 {
+			p.fleet.Restart(id, time.Now().Add(-time.Hour).UnixMilli())
+		}
+	}
+}
+
 // shrink makes workers report less capacity for the duration of the fault.
 func (p *dayRun) shrink(f *dayFault, _ string, length time.Duration) {
 	ids := p.instances(f)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -41,7 +41,7 @@
 	// weakCPUShare is the share of a core below which an entry leads only if no entry with more CPU does.
 	weakCPUShare = 0.3
 	// weakRankOffset, firstStartRankOffset and rankSpread order the candidates for the lease; see Entry.rank.
-	weakRankOffset       = 12
+	weakRankOffset       = leader.LastRank
 	firstStartRankOffset = 4
 	rankSpread           = 4
 )
@@ -119,6 +119,11 @@
 	// it never was. configUnreadable is set while the newest one can't be decoded.
 	configCheckedAt  atomic.Int64
 	configUnreadable bool
+	// toldLeader is the latest leader that other entries have told this one, nil if none has.
+	toldLeader atomic.Pointer[leader.Record]
+	advisers   advisers
+	// sourceTurn selects the entry that is asked for the operator's rows; it rises when one can't tell.
+	sourceTurn int
 	// keyTime is how long after the last check of the configuration keys are relied on, in nanoseconds, 0 for ever.
 	keyTime  atomic.Int64
 	stopping atomic.Bool
@@ -127,6 +132,7 @@
 	// leading is 1 while this entry places tasks.
 	leading  atomic.Int64
 	requests *requestMetrics
+	tenants  *tenantMetrics
 	// lastStoreResponse is when the store last responded to this entry, in nanoseconds of Now.
 	lastStoreResponse atomic.Int64
 	// lastLeaderResponse is when the leader last returned the operator's rows while the store was unavailable, in
@@ -217,6 +223,7 @@
 	s.registry = prometheus.NewRegistry()
 	s.metrics = schedule.NewMetrics(s.registry)
 	s.requests = s.newRequestMetrics()
+	s.tenants = newTenantMetrics(s.registry)
 	s.updateKeyTime()
 	s.waves = make(map[int64]provider.Wave)
 	s.operatorRows = make(map[string]table.Row)
@@ -284,7 +291,7 @@
 		return
 	}
 	if !previous.Released {
-		s.scheduler.OrdersFrom = now + minGap - time.Duration(previous.LeaseMillis)*time.Millisecond
+		s.scheduler.OrdersFrom = now + minGap - previous.Duration()
 		return
 	}
 	for instance, age := range previous.RecentOrders {
--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -41,6 +41,9 @@
 		{"Leader, tasks and workers (1000)", scheduleEvents},
 		{"Tasks that slow each other down (1350)", separationEvents},
 		{"Tenants (1100)", tenantEvents},
+		{"Caps and shares of tenants (1150)", shareEvents},
+		{"Lease of the leader (1250)", leaseEvents},
+		{"Workers that boot again (1200)", bootEvents},
 	}
 }
 
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -33,6 +33,7 @@
 	crashes  *prometheus.CounterVec
 	pairs    prometheus.Gauge
 	apart    *prometheus.CounterVec
+	tenants  tenantMetrics
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -80,6 +81,7 @@
 		Name: "samphirekeel_separated_starts_total", Help: "Started tasks whose image forms an interfering pair, by whether the other image ran on their worker (beside) or not (apart).",
 	}, []string{"placed"})
 	registry.MustRegister(m.pairs, m.apart, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
+	m.tenants = newTenantMetrics(registry)
 	return m
 }
 
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -27,6 +27,8 @@
 	worker *workerState
 	number int64
 	size   work.Size
+	// tenant is the tenant that the run counts for, nil once it no longer does.
+	tenant *tenantState
 	// removed is set once the run is certain to be over.
 	removed bool
 	// ordered is when the start order was sent.
@@ -112,6 +114,7 @@
 	t.nextRun = max(t.nextRun, number+1)
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
+	r.charge()
 	w.perStep[t.step]++
 	w.countImage(t.step, 1)
 	return r
@@ -136,6 +139,7 @@
 	r.awaitingEndSince = now
 	r.worker.used = r.worker.used.Minus(r.size)
 	r.size = work.Size{}
+	r.discharge()
 }
 
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
@@ -149,6 +153,7 @@
 	delete(w.runs, t.id())
 	r.setIsolation(unsuspected)
 	w.used = w.used.Minus(r.size)
+	r.discharge()
 	w.perStep[t.step]--
 	w.countImage(t.step, -1)
 	if w.perStep[t.step] == 0 {
@@ -194,6 +199,9 @@
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
+		if err != nil && fault.As(err).Outcome() != fault.NotRun {
+			s.noteUnanswered(r)
+		}
 		if r.removed {
 			return
 		}
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -87,6 +87,8 @@
 	// The worker gets neither a lease nor tasks until it has accepted an order to stop each of them. It may have been
 	// removed and registered again meanwhile.
 	lateStarts map[string]map[work.TaskID]int64
+	// unanswered holds, by worker and task, the start orders without a response that a later boot of the worker may carry out.
+	unanswered map[string]map[work.TaskID]unansweredStart
 	// doubts holds, by ID, the workers of which it isn't known whether they crashed.
 	doubts map[string]*doubt
 	// silentExpiries holds, by data centre, when the lease of a silent worker last expired.
@@ -111,6 +113,8 @@
 	unheard map[string]*workerState
 	// holders is derived from unheard at the start of each pass and of each report of waits.
 	holders holders
+	// caps holds the tenants with jobs.
+	caps caps
 
 	planPending bool
 	// planTook is the duration of the latest pass.
@@ -165,11 +169,13 @@
 	s.workers = make(map[string]*workerState)
 	s.registrations = make(map[string]storedRegistration)
 	s.lateStarts = make(map[string]map[work.TaskID]int64)
+	s.unanswered = make(map[string]map[work.TaskID]unansweredStart)
 	s.silentExpiries = make(map[string]time.Duration)
 	s.givenUp = make(map[*job]bool)
 	s.doubts = make(map[string]*doubt)
 	s.workerOf = make(map[string]*workerState)
 	s.unheard = make(map[string]*workerState)
+	s.caps.byName = make(map[string]*tenantState)
 	s.runBase = (s.Epoch - 1) * runNumbersPerEpoch
 	s.starts, s.stops = newOrderWindow(initialStartLimit, minStartLimit), newOrderWindow(initialStopLimit, minStopLimit)
 	s.fleet.init()
@@ -284,6 +290,7 @@
 func (s *Scheduler) SetConfig(c *queue.Config) {
 	s.Config = c
 	if s.ready {
+		s.configureTenants()
 		s.routeJobs()
 		s.schedulePlan()
 	}
