Paces and separation: findings of the review

Cause: the review of the part found that a leader crashes on a worker that is known from the roster only (mayMoveAside without a pool), that best-effort runs may be started and stopped in turn on a halted worker, that a halted run never goes on where the tail rests just below its target, that an order to throttle which is carried out late counts for good, and that a pair could send tasks to another data centre. Change: each of these; the speed is probed with a back-off, ordered again for 15 s after an order without a response, and judged by figures of the time after the last change only; runs move aside one at a time, to workers that may run them. The pair's cost stays below that of another data centre. Columns and orders are sorted. Tests: TestPaceRecovers, TestOldFigureChangesNothing, TestHaltedRunMovesAside, TestMoveAsideWithoutPool, TestUnreportedTails.

--- a/entry/main.go
+++ b/entry/main.go
@@ -25,12 +25,12 @@
 
 // options is the command line.
 type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this entry"`
-	Platform string `long:"platform-settings" value-name:"FILE" env:"SAMPHIREKEEL_SETTINGS" description:"settings file that the platform writes; the entry then runs on the platform"`
-	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" description:"lowest level that is logged on the platform"`
-	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"port on which an entry on the platform serves /metrics; 0 for none"`
-	Together bool   `long:"no-separation" description:"don't keep tasks apart that slow each other down on one worker"`
-	Check    bool   `long:"check" description:"check the settings file and that its addresses are free, and exit"`
+	Settings     string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this entry"`
+	Platform     string `long:"platform-settings" value-name:"FILE" env:"SAMPHIREKEEL_SETTINGS" description:"settings file that the platform writes; the entry then runs on the platform"`
+	LogLevel     string `long:"log-level" value-name:"LEVEL" default:"info" description:"lowest level that is logged on the platform"`
+	Metrics      int    `long:"metrics-port" value-name:"PORT" description:"port on which an entry on the platform serves /metrics; 0 for none"`
+	NoSeparation bool   `long:"no-separation" description:"don't keep tasks apart that slow each other down on one worker"`
+	Check        bool   `long:"check" description:"check the settings file and that its addresses are free, and exit"`
 }
 
 func main() {
@@ -104,7 +104,7 @@
 	log.Logger.SetLevel(level)
 	log.Base = event.Fields{"entry": settings.Name}
 	process := &site.Entry{
-		Settings: settings, Log: &log.Log, Version: version, Reload: load, MetricsPort: opts.Metrics, NoSeparation: opts.Together,
+		Settings: settings, Log: &log.Log, Version: version, Reload: load, MetricsPort: opts.Metrics, NoSeparation: opts.NoSeparation,
 		Store: platform.NewStore(settings.Store.Address), Workers: platform.NewWorkerClient(), Codec: site.PlatformCodec(),
 	}
 	if settings.InstanceService.Address != "" {
--- a/keel/interference/table.go
+++ b/keel/interference/table.go
@@ -16,6 +16,8 @@
 	maxNeighbours = 24
 	// halfLife is the time in which an observation loses half of its weight: what images do changes while they run.
 	halfLife = 15 * time.Second
+	// forgetAfter is the time after its last observation from which an image may be forgotten for another one.
+	forgetAfter = 10 * halfLife
 	// checkInterval is the time between two evaluations of a model.
 	checkInterval = time.Second
 	// maxDeviation limits the logarithm of an observed ratio. Single tasks take many times as long as others of their image.
@@ -117,11 +119,9 @@
 		return m
 	}
 	if len(t.models) >= maxImages {
-		for name, old := range t.models {
-			if now-old.updatedAt > 10*halfLife {
-				t.forget(name)
-				break
-			}
+		oldest := t.oldest()
+		if now-t.models[oldest].updatedAt > forgetAfter {
+			t.forget(oldest)
 		}
 	}
 	if len(t.models) >= maxImages {
@@ -132,6 +132,18 @@
 	return m
 }
 
+// oldest returns the image whose last observation is the oldest, the first by name of several.
+func (t *Table) oldest() string {
+	oldest := ""
+	for name, m := range t.models {
+		first := oldest == "" || m.updatedAt < t.models[oldest].updatedAt
+		if first || m.updatedAt == t.models[oldest].updatedAt && name < oldest {
+			oldest = name
+		}
+	}
+	return oldest
+}
+
 func (t *Table) forget(image string) {
 	delete(t.models, image)
 	for key, p := range t.pairs {
--- a/keel/schedule/cost.go
+++ b/keel/schedule/cost.go
@@ -14,7 +14,7 @@
 	// crowdingCost spreads a step's best-effort tasks over the workers.
 	crowdingCost = 2.0
 	// throttledCost keeps best-effort tasks off workers where they are throttled for the sake of another task.
-	throttledCost = 4.0
+	throttledCost = 10.0
 )
 
 // cost returns the placement cost of the step on the worker; the lowest cost is selected.
@@ -28,6 +28,9 @@
 			cost += throttledCost
 		}
 	}
+	if len(pl.s.separation.conflicts[spec.Image]) > 0 {
+		cost = separatedShare*cost + pl.s.separationCost(step, w)
+	}
 	if home := step.occurrence.job.Home; home != "" && home != w.DataCentre {
 		cost += remoteDataCentreCost
 	}
@@ -40,9 +43,6 @@
 	if spec.LongRunning && pl.s.maintenanceDue(w.Instance) {
 		cost += maintenanceDueCost
 	}
-	if len(pl.s.separation.conflicts) > 0 {
-		cost += pl.s.separationCost(step, w)
-	}
 	return cost
 }
 
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -91,6 +91,7 @@
 func (s *Scheduler) checkRuns(now time.Duration) {
 	for _, w := range s.workers {
 		if w.unresponsiveSince != 0 {
+			w.pace.overSince = 0
 			for _, r := range w.runs {
 				r.checkSpeculation(now)
 			}
@@ -119,7 +120,7 @@
 // isStalled reports whether the run makes no progress although its worker lists it. It is stopped then, so that its task
 // restarts, and its worker is avoided.
 func (r *run) isStalled() bool {
-	if r.confirmedAt == 0 || r.stopping || r.task.step.spec.LongRunning || r.speedPercent == 0 {
+	if r.confirmedAt == 0 || r.stopping || r.task.step.spec.LongRunning || r.speedPercent == 0 || r.listedAt < r.paceDoubtUntil {
 		return false
 	}
 	return r.listedAt-r.progressedAt >= stallTimeout*fullSpeedPercent/time.Duration(r.speedPercent)
@@ -153,13 +154,13 @@
 		return false
 	}
 	r := t.runs[0]
-	if r.awaitingEndSince != 0 || r.speedPercent < fullSpeedPercent {
+	if r.awaitingEndSince != 0 {
 		return false
 	}
 	if r.worker.unresponsiveSince != 0 {
 		return r.survived() >= startCrashTime || !r.worker.mayHaveCrashed()
 	}
-	return r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
+	return r.confirmedAt != 0 && r.speedPercent == fullSpeedPercent && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
 }
 
 // checkSpeculation marks the run's job if the task needs a speculative run.
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -48,6 +48,9 @@
 		if len(w.ends) == 0 {
 			order.Wait = w.renewalWait(now)
 		}
+		if s.Bounds.MaxSlowdownTime > 0 && w.hasServingBesideBestEffort() {
+			order.Wait = min(order.Wait, servingWait)
+		}
 		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
 	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
@@ -127,8 +130,6 @@
 		return doubtRenewWait
 	case inDoubt || !w.hasConfirmedRun():
 		return 0
-	case w.hasServingBesideBestEffort():
-		return servingWait
 	}
 	return renewWait
 }
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -66,6 +66,9 @@
 	speedPercent  int
 	paced, pacing bool
 	paceAgainAt   time.Duration
+	// paceDoubtUntil is until when an order to throttle the run that had no response may be carried out. haltedSince is when its
+	// worker accepted that it be halted, 0 if it isn't.
+	paceDoubtUntil, haltedSince time.Duration
 	// isolation is how far the run is kept apart from others until it has lasted long enough.
 	isolation suspicion
 	// awaitingEndSince is when the worker first listed neither the run, which is over, nor its end, 0 before that.
@@ -173,9 +176,10 @@
 
 // start orders the worker to start the task.
 func (s *Scheduler) start(t *task, w *workerState, number int64, ticket string) {
+	beside, use := s.noteStart(t.step, w)
 	r := s.addRun(t, w, number)
+	r.besideAtStart, r.useAtStart = beside, use
 	r.setIsolation(t.suspicion())
-	s.noteStart(r)
 	j := t.job()
 	if !j.started {
 		j.started = true
--- a/keel/schedule/separation.go
+++ b/keel/schedule/separation.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -13,10 +15,12 @@
 	// tailWeight is the weight of a sample of a run that serves users against that of a whole run: the samples of one run
 	// depend on one another.
 	tailWeight = 0.25
-	// A worker on which a pair meets is costlier by separationCost times the slowdown, at most by maxSeparationCost: a wrong
-	// rack slows the task down for sure.
-	separationCost    = 3.0
-	maxSeparationCost = 3.0
+	// A worker on which a pair meets is costlier by separationCost times the slowdown, at most by maxSeparationCost. Beside that the
+	// worker's free share counts by separatedShare only. Together they stay below remoteDataCentreCost: the pair doesn't send the
+	// task to another data centre, nor to a wrong rack.
+	separationCost    = 1.5
+	maxSeparationCost = 0.65
+	separatedShare    = 0.3
 )
 
 // separation keeps tasks apart that slow each other down on one worker. It is empty for a scheduler that doesn't.
@@ -72,41 +76,35 @@
 
 // countImage adds n to the number of the worker's runs of the step's image.
 func (w *workerState) countImage(step *stepState, n int) {
+	if step.spec.BestEffort {
+		w.bestEffort += n
+	}
+	image := step.spec.Image
+	if image == "" {
+		return
+	}
 	if w.images == nil {
 		w.images = make(map[string]int)
 	}
-	image := step.spec.Image
 	w.images[image] += n
 	if w.images[image] == 0 {
 		delete(w.images, image)
 	}
-	if step.spec.BestEffort {
-		w.bestEffort += n
-	}
 }
 
-// beside returns the images of the worker's runs other than one run of the given image.
-func (w *workerState) beside(image string) []string {
-	var images []string
-	for other, n := range w.images {
-		if other != "" && (other != image || n > 1) {
-			images = append(images, other)
-		}
-	}
-	return images
-}
+// sortedImages returns the images of the worker's runs in order.
+func (w *workerState) sortedImages() []string { return slices.Sorted(maps.Keys(w.images)) }
 
-// noteStart records what runs beside a run when it starts.
-func (s *Scheduler) noteStart(r *run) {
-	image := r.task.step.spec.Image
+// noteStart returns the images on the worker, and the used share of it, before a run of the step starts there.
+func (s *Scheduler) noteStart(step *stepState, w *workerState) (beside []string, use float64) {
+	image := step.spec.Image
 	if s.separation.table == nil || image == "" {
-		return
+		return nil, 0
 	}
-	r.besideAtStart, r.useAtStart = r.worker.beside(image), r.worker.use()
-	conflicts := s.separation.conflicts[image]
-	if len(conflicts) > 0 {
-		s.Metrics.addSeparatedStart(s.separationCost(r.task.step, r.worker) == 0)
+	if len(s.separation.conflicts[image]) > 0 {
+		s.Metrics.addSeparatedStart(s.separationCost(step, w) == 0)
 	}
+	return w.sortedImages(), w.use()
 }
 
 // use returns the share of the worker's processor time that its runs reserve.
@@ -128,34 +126,30 @@
 	}
 	s.separation.table.Add(interference.Observation{
 		Image: image, Worker: r.worker.hardware(), Ratio: took.Seconds() / expected.Seconds(), Weight: 1,
-		Use: (r.useAtStart + r.worker.use()) / 2, Neighbours: neighbours(r.besideAtStart, r.worker.images),
+		Use: (r.useAtStart + r.worker.use()) / 2, Neighbours: neighbours(r.besideAtStart, r.worker.sortedImages()),
 	}, s.Now())
 }
 
 // neighbours returns the images that were beside a run at its start, at its end or at both.
-func neighbours(atStart []string, atEnd map[string]int) []interference.Neighbour {
+func neighbours(atStart, atEnd []string) []interference.Neighbour {
 	const half = 0.5
 	all := make([]interference.Neighbour, 0, len(atStart)+len(atEnd))
-	for _, image := range atStart {
+	for _, image := range slices.Concat(atStart, atEnd) {
 		all = append(all, interference.Neighbour{Image: image, Share: half})
 	}
-	for image := range atEnd {
-		if image != "" {
-			all = append(all, interference.Neighbour{Image: image, Share: half})
-		}
-	}
 	return all
 }
 
 // servesUsers reports whether the run is one of a long-running task with an objective for its tail latency.
 func (r *run) servesUsers() bool {
-	return r.task.step.spec.LongRunning && r.task.step.spec.LatencyTarget > 0
+	spec := r.task.step.spec
+	return spec.LongRunning && spec.LatencyTarget > 0 && !spec.BestEffort
 }
 
 // observeTail adds the tail latency of a run that serves users to the table.
 func (s *Scheduler) observeTail(r *run, now time.Duration) {
 	spec := r.task.step.spec
-	if s.separation.table == nil || spec.Image == "" || !r.servesUsers() || r.load < 0 || now-r.sampledAt < tailInterval {
+	if s.separation.table == nil || spec.Image == "" || !r.servesUsers() || r.load < 0 || r.awaitingEndSince != 0 || now-r.sampledAt < tailInterval {
 		return
 	}
 	r.sampledAt = now
@@ -167,11 +161,11 @@
 		}
 	}
 	all := make([]interference.Neighbour, 0, len(speeds))
-	for image, speed := range speeds {
-		all = append(all, interference.Neighbour{Image: image, Share: speed})
+	for _, image := range slices.Sorted(maps.Keys(speeds)) {
+		all = append(all, interference.Neighbour{Image: image, Share: speeds[image]})
 	}
 	s.separation.table.Add(interference.Observation{
-		Image: spec.Image, Worker: r.worker.hardware(), Ratio: r.load / float64(spec.LatencyTarget.Milliseconds()), Weight: tailWeight,
+		Image: spec.Image, Worker: r.worker.hardware(), Ratio: r.tailShare(), Weight: tailWeight,
 		Use: r.worker.use(), Neighbours: all,
 	}, now)
 }
--- a/keel/schedule/separation_test.go
+++ b/keel/schedule/separation_test.go
@@ -226,14 +226,86 @@
 	})
 }
 
-// TestTailsWithoutBestEffort guards against orders to throttle where nothing can give way, and for figures that workers
-// don't report.
-func TestTailsWithoutBestEffort(t *testing.T) {
-	p := pace{}
-	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
-		p.reduction = fullSpeedPercent - p.next(0, at, testMaxSlowdown, time.Second)
+// TestPaceRecovers guards against best-effort runs that stay halted because the tail rests below its target, though not well
+// below it, by the task's own load: the speed is probed in steps, and the tail is over the target for at most a tenth of the time.
+func TestPaceRecovers(t *testing.T) {
+	const settle = 600 * time.Millisecond
+	for _, c := range []struct {
+		// limit is the percentage above which the tail passes the target, least the one that has to be reached.
+		limit, least int
+	}{{limit: 100, least: 100}, {limit: 45, least: 40}, {limit: 5, least: 10}} {
+		p := pace{reduction: fullSpeedPercent, changedAt: time.Second}
+		ticks, over, highest := 0, 0, 0
+		for at := time.Second; at < time.Minute; at += 100 * time.Millisecond {
+			worst := 0.9
+			ticks++
+			if p.percent() > c.limit {
+				worst = 1.1
+				over++
+			}
+			percent := p.next(worst, at, at, testMaxSlowdown, settle)
+			if percent == p.percent() {
+				continue
+			}
+			highest = max(highest, percent)
+			p.reduction, p.changedAt = fullSpeedPercent-percent, at
+		}
+		assert.Check(t, highest >= c.least && over*10 <= ticks, "limit %d: highest %d, over the target for %d of %d figures", c.limit, highest, over, ticks)
+	}
+}
+
+// TestOldFigureChangesNothing guards against a figure of the time before a change that counts for the new speed.
+func TestOldFigureChangesNothing(t *testing.T) {
+	p := pace{reduction: 60, changedAt: 10 * time.Second}
+	assert.Equal(t, p.next(1.5, 10100*time.Millisecond, 11*time.Second, testMaxSlowdown, 600*time.Millisecond), 40)
+	assert.Equal(t, p.next(1.5, 10700*time.Millisecond, 11*time.Second, testMaxSlowdown, 600*time.Millisecond), 16)
+}
+
+// TestHaltedRunMovesAside plays best-effort tasks with checkpoints on a worker where they are halted: one at a time restarts
+// on the worker that has room, and none is stopped again and again.
+func TestHaltedRunMovesAside(t *testing.T) {
+	withSeparation(t, 2, func(b *testbed) {
+		b.submit(servingJob(1, 1), 0)
+		time.Sleep(3 * time.Second)
+		b.fleet.SetDisturbance("web", "batch", 30)
+		filling := fillingJob(2, 4, time.Hour)
+		filling.Steps[0].Checkpoints = true
+		b.submit(filling, time.Hour)
+		time.Sleep(25 * time.Second)
+		full := 0
+		for _, percent := range b.speeds() {
+			if percent == fullSpeedPercent {
+				full++
+			}
+		}
+		assert.Equal(t, full, 4)
+		assert.Check(t, b.starts() <= 9, "%d starts", b.starts())
+	})
+}
+
+// TestMoveAsideWithoutPool guards against a worker that is only known from the roster.
+func TestMoveAsideWithoutPool(t *testing.T) {
+	s := &Scheduler{}
+	w := &workerState{}
+	r := &run{worker: w, task: &task{step: &stepState{spec: &work.Step{BestEffort: true, Checkpoints: true}}}}
+	assert.Check(t, !s.mayMoveAside(r, time.Second))
+}
+
+// TestUnreportedTails guards against orders to throttle on a worker that doesn't report the tail latency of its tasks.
+func TestUnreportedTails(t *testing.T) {
+	s := &Scheduler{}
+	s.Bounds.MaxSlowdownTime = testMaxSlowdown
+	serving := &stepState{spec: &work.Step{LongRunning: true, LatencyTarget: time.Second}}
+	filling := &stepState{spec: &work.Step{BestEffort: true}}
+	w := &workerState{bestEffort: 1}
+	w.runs = map[work.TaskID]*run{
+		{Index: 1}: {worker: w, task: &task{step: serving}, confirmedAt: 1, load: -1},
+		{Index: 2}: {worker: w, task: &task{step: filling}, confirmedAt: 1, speedPercent: fullSpeedPercent, load: -1},
+	}
+	for at := time.Second; at < 20*time.Second; at += 100 * time.Millisecond {
+		s.adjustPace(w, at)
 	}
-	assert.Equal(t, p.percent(), fullSpeedPercent)
+	assert.Equal(t, w.pace.percent(), fullSpeedPercent)
 }
 
 // TestBestEffortPrefersHome guards against best-effort tasks that start in a remote data centre or on a wrong rack because
