--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -105,6 +105,10 @@
 	reservedUntil time.Duration
 	// perStep counts the worker's runs of each step.
 	perStep map[*stepState]int
+	// images counts the worker's runs of each image, bestEffort those of best-effort steps.
+	images     map[string]int
+	bestEffort int
+	pace       pace
 
 	// renewals counts the renewals and those that were given up before their response.
 	renewals       int64
