--- a/keel/leader/acquire.go
+++ b/keel/leader/acquire.go
@@ -48,11 +48,19 @@
 		l.logKeptRows(now)
 		return
 	}
-	if l.attempt == nil && now-l.lastAttempt >= acquireInterval && now-l.lastResponse <= maxResponseAge && l.acquirable(now) {
+	if l.attempt == nil && now-l.lastAttempt >= l.acquireInterval() && now-l.lastResponse <= maxResponseAge && l.acquirable(now) {
 		l.acquire(now)
 	}
 }
 
+// acquireInterval returns the minimum time between two attempts to acquire the lease.
+func (l *Lease) acquireInterval() time.Duration {
+	if l.Rank >= LastRank {
+		return lastRankInterval
+	}
+	return acquireInterval
+}
+
 // acquirable reports whether enough rows are available and the delay for this entry's rank has passed.
 func (l *Lease) acquirable(now time.Duration) bool {
 	available := 0
--- a/keel/leader/lease.go
+++ b/keel/leader/lease.go
@@ -37,6 +37,9 @@
 	checkInterval = 40 * time.Millisecond
 	// acquireInterval is the minimum time between two attempts to acquire the lease.
 	acquireInterval = 250 * time.Millisecond
+	// lastRankInterval is the same for a candidate of LastRank. While rows are unavailable the attempts of all fail, and one of
+	// those of lower ranks is to be the first afterwards.
+	lastRankInterval = 10 * time.Second
 	// rankDelay is the additional time per rank that a candidate waits before it acquires a free lease.
 	rankDelay = 15 * time.Millisecond
 	// LastRank is a rank with a delay of 1.2 s. It is longer than a poll without response takes, so that a candidate of a lower
--- a/keel/leader/rows_test.go
+++ b/keel/leader/rows_test.go
@@ -282,3 +282,28 @@
 		})
 	}
 }
+
+// Guards against the same after an outage of some rows, during which the candidates' attempts fail for so long that each has
+// waited for its rank.
+func TestLastRankWaitsForOthersAfterOutageOfRows(t *testing.T) {
+	for after := time.Duration(0); after < 1300*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				for i := range 3 {
+					b.start(fmt.Sprint("strong-", i), i)
+				}
+				for i := range 8 {
+					b.start(fmt.Sprint("weak-", i), leader.LastRank)
+				}
+				time.Sleep(3 * time.Second)
+				b.setUnavailable("lease0", "lease1", "lease3")
+				b.kill(b.holder())
+				time.Sleep(5*time.Second + after)
+				assert.Equal(t, b.holder(), "")
+				b.setUnavailable()
+				time.Sleep(time.Second)
+				assert.Assert(t, strings.HasPrefix(b.holder(), "strong"), "%s holds the lease", b.holder())
+			})
+		})
+	}
+}
