--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -46,10 +46,7 @@
 			order.LeaseEnd = s.extendLease(w)
 		}
 		if len(w.ends) == 0 {
-			order.Wait = w.renewalWait(now)
-		}
-		if s.Bounds.MaxSlowdownTime > 0 && w.hasServingBesideBestEffort() {
-			order.Wait = min(order.Wait, servingWait)
+			order.Wait = min(w.renewalWait(now), s.tailWait(w))
 		}
 		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
@@ -70,6 +67,14 @@
 	})
 }
 
+// tailWait returns how long a renewal may wait at most so that the tail latencies of the worker's tasks are known in time.
+func (s *Scheduler) tailWait(w *workerState) time.Duration {
+	if s.Bounds.MaxSlowdownTime > 0 && w.hasServingBesideBestEffort() {
+		return servingWait
+	}
+	return renewWait
+}
+
 // mayExtendLease reports whether the worker's next renewal may extend its lease, but for starts with an unknown outcome.
 func (s *Scheduler) mayExtendLease(w *workerState) bool {
 	responds := w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed
--- a/keel/schedule/separation_test.go
+++ b/keel/schedule/separation_test.go
@@ -54,15 +54,15 @@
 }
 
 // servingJob returns a long-running job whose tasks serve users.
-func servingJob(id, count int) *work.Job {
-	job := imageJob(id, "web", count, 4000, 0)
+func servingJob(count int) *work.Job {
+	job := imageJob(1, "web", count, 4000, 0)
 	job.Steps[0].LongRunning, job.Steps[0].LatencyTarget, job.Steps[0].MaxPerWorker = true, 100*time.Millisecond, 1
 	return job
 }
 
 // fillingJob returns a job of best-effort tasks.
-func fillingJob(id, count int, takes time.Duration) *work.Job {
-	job := imageJob(id, "batch", count, 4000, takes)
+func fillingJob(count int) *work.Job {
+	job := imageJob(2, "batch", count, 4000, time.Hour)
 	job.Steps[0].BestEffort = true
 	return job
 }
@@ -139,9 +139,9 @@
 // after the disturbance.
 func TestBestEffortGivesWay(t *testing.T) {
 	withSeparation(t, 3, func(b *testbed) {
-		b.submit(servingJob(1, 3), 0)
+		b.submit(servingJob(3), 0)
 		time.Sleep(3 * time.Second)
-		b.submit(fillingJob(2, 6, time.Hour), time.Hour)
+		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(2 * time.Second)
 		b.fleet.SetDisturbance("web", "batch", 4)
 		time.Sleep(10 * time.Second)
@@ -180,8 +180,8 @@
 // know their speed.
 func TestPaceAfterLeaderChange(t *testing.T) {
 	withSeparation(t, 3, func(b *testbed) {
-		b.submit(servingJob(1, 3), 0)
-		b.submit(fillingJob(2, 6, time.Hour), time.Hour)
+		b.submit(servingJob(3), 0)
+		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(3 * time.Second)
 		b.fleet.SetDisturbance("web", "batch", 4)
 		time.Sleep(5 * time.Second)
@@ -217,8 +217,8 @@
 				return inner(ctx, to, o)
 			}
 		})
-		b.submit(servingJob(1, 3), 0)
-		b.submit(fillingJob(2, 6, time.Hour), time.Hour)
+		b.submit(servingJob(3), 0)
+		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(3 * time.Second)
 		b.fleet.SetDisturbance("web", "batch", 8)
 		time.Sleep(12 * time.Second)
@@ -265,10 +265,10 @@
 // on the worker that has room, and none is stopped again and again.
 func TestHaltedRunMovesAside(t *testing.T) {
 	withSeparation(t, 2, func(b *testbed) {
-		b.submit(servingJob(1, 1), 0)
+		b.submit(servingJob(1), 0)
 		time.Sleep(3 * time.Second)
 		b.fleet.SetDisturbance("web", "batch", 30)
-		filling := fillingJob(2, 4, time.Hour)
+		filling := fillingJob(4)
 		filling.Steps[0].Checkpoints = true
 		b.submit(filling, time.Hour)
 		time.Sleep(25 * time.Second)
