keelctl check: a configuration before it is sent

Cause: an operator learns of a queue that no call can reach, a pool that is off or a limit that contradicts another only from callers, after the version is in force. Change: keel/configcheck checks a decoded configuration and compares two versions; platform.CheckConfig decodes it as the entries do and names places in the file; keelctl check prints both. An entry serves a summary of what it applies at /config beside its metrics, with keys as short hashes. Not found: what depends on instances (caps against capacity or jobs, labels).

--- a/entry/site/metrics.go
+++ b/entry/site/metrics.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"encoding/json"
 	"strconv"
 	"time"
 
@@ -9,11 +10,17 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"samphirekeel.example/keel/configcheck"
+	"samphirekeel.example/keel/fault"
 )
 
 // metricsPath is the path at which metrics are served.
 const metricsPath = "/metrics"
 
+// configPath is the path at which the summary of the applied configuration is served, without the keys of tenants.
+const configPath = "/config"
+
 // The values of the metrics' label call.
 const (
 	callSubmit  = "submit"
@@ -70,11 +77,30 @@
 	return &fasthttp.Server{
 		Name: "samphirekeel", NoDefaultServerHeader: true,
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) != metricsPath {
+			switch string(ctx.Path()) {
+			case metricsPath:
+				handler(ctx)
+			case configPath:
+				s.serveConfig(ctx)
+			default:
 				ctx.SetStatusCode(fasthttp.StatusNotFound)
-				return
 			}
-			handler(ctx)
 		},
 	}
 }
+
+// serveConfig serves the summary of the applied configuration to operators.
+func (s *Entry) serveConfig(ctx *fasthttp.RequestCtx) {
+	config := s.config.Load()
+	if config == nil {
+		writeError(ctx, fault.New(fault.NotReady, "no configuration loaded yet on this entry").WithRetryAfter(retryAfter))
+		return
+	}
+	body, err := json.Marshal(configcheck.Summarise(config))
+	if err != nil {
+		writeError(ctx, fault.Wrap(fault.Internal, err, "encode the configuration's summary"))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/keel/tenant/tenant.go
+++ b/keel/tenant/tenant.go
@@ -37,19 +37,25 @@
 type Set struct {
 	byName map[string]*Tenant
 	byKey  map[Key]*Tenant
+	// shared holds, by tenant, an earlier tenant that has one of its keys.
+	shared map[string]string
 }
 
 // NewSet returns an empty set, to which tenants are added before it is used.
 func NewSet() *Set {
-	return &Set{byName: make(map[string]*Tenant), byKey: make(map[Key]*Tenant)}
+	return &Set{byName: make(map[string]*Tenant), byKey: make(map[Key]*Tenant), shared: make(map[string]string)}
 }
 
 // Add adds a tenant with its keys. A key that another tenant has already stays with that tenant.
 func (s *Set) Add(t Tenant, keys []Key) {
 	s.byName[t.Name] = &t
 	for _, key := range keys {
-		if s.byKey[key] == nil {
+		owner := s.byKey[key]
+		switch {
+		case owner == nil:
 			s.byKey[key] = &t
+		case owner.Name != t.Name:
+			s.shared[t.Name] = owner.Name
 		}
 	}
 }
@@ -70,6 +76,28 @@
 	return s.byKey[key]
 }
 
+// Keys returns the hashes of the keys that belong to the tenant, in no order.
+func (s *Set) Keys(name string) []Key {
+	if s == nil {
+		return nil
+	}
+	var keys []Key
+	for key, t := range s.byKey {
+		if t.Name == name {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// SharesKeyWith returns the name of an earlier tenant to which a key belongs that was added for this one too, empty for none.
+func (s *Set) SharesKeyWith(name string) string {
+	if s == nil {
+		return ""
+	}
+	return s.shared[name]
+}
+
 // Len returns the number of tenants.
 func (s *Set) Len() int {
 	if s == nil {
--- a/keelctl/main.go
+++ b/keelctl/main.go
@@ -37,6 +37,7 @@
 	Status    statusCommand     `command:"status" description:"show the entries and the instances by pool and state"`
 	Entries   entriesCommands   `command:"entries" description:"look after the entries themselves"`
 	Job       jobCommands       `command:"job" description:"show and end jobs"`
+	Check     checkCommand      `command:"check" description:"check a configuration of the platform before it is sent"`
 }
 
 func main() {
@@ -74,6 +75,9 @@
 	if _, ok := err.(*flags.Error); ok {
 		return fault.Usage.Properties().ExitCode
 	}
+	if _, ok := err.(findingsError); ok {
+		return exitFindings
+	}
 	if fault.As(err).Outcome() == fault.Unknown {
 		// The command may have taken effect, so the exit code is at least that of an unknown outcome, whatever the
 		// kind.
