--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -160,6 +160,9 @@
 	job, err := platform.DecodeJob(id, q.Name, body)
 	if err == nil {
 		job.Terms, job.Tenant = config.Terms(q), from.tenant
+		err = config.checkCap(job)
+	}
+	if err == nil {
 		err = s.submit(callCtx, job, from)
 	}
 	if err != nil {
@@ -273,7 +276,7 @@
 		return
 	}
 	s.Log.Write(event.CallUnanswered, event.Fields{
-		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.lease.Leader().Holder,
+		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.currentLeader().Holder,
 	})
 	writeError(ctx, err)
 }
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -50,6 +50,8 @@
 	Pools map[string]int `json:"pools"`
 	// Tenants is the number of tenants, which submit the jobs by turns; 0 for a configuration without tenants.
 	Tenants int `json:"tenants"`
+	// SameID makes workers keep their ID when they start again after a crash.
+	SameID bool `json:"same_id"`
 	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
 	ListedEnds int        `json:"listed_ends"`
 	Seeds      []uint64   `json:"seeds"`
@@ -105,6 +107,8 @@
 	SlowFactor int      `json:"slow"`
 	// Capacity is the share of their capacity that workers report while it is less than usual.
 	Capacity float64 `json:"capacity"`
+	// Harmless is set for a fault of which callers must notice nothing.
+	Harmless bool `json:"harmless"`
 }
 
 func TestDays(t *testing.T) {
@@ -151,10 +155,13 @@
 	maxJobTime = 3 * time.Second
 )
 
-// isFaultFree reports whether no fault affects a job submitted at the time: none begins within maxJobTime after it, and
+// isFaultFree reports whether no fault affects a job submitted at the time: none that isn't harmless begins within maxJobTime after it, and
 // none ended within recoveryTime before it.
 func (d *day) isFaultFree(at time.Duration) bool {
 	for _, f := range d.Faults {
+		if f.Harmless {
+			continue
+		}
 		from := time.Duration(f.At) - maxJobTime
 		to := time.Duration(f.At) + time.Duration(f.For) + recoveryTime
 		if at > from && at < to {
@@ -186,6 +193,7 @@
 // build adds the pools, the queues and the entries.
 func (p *dayRun) build() {
 	capacity := work.Size{MilliCores: 16000, MemoryMB: 32768}
+	p.fleet.SameID = p.day.SameID
 	if p.day.ListedEnds > 0 {
 		p.fleet.MaxListedEnds = p.day.ListedEnds
 	}
@@ -449,6 +457,7 @@
 		"store":              p.storeOutage,
 		"forget":             func(*dayFault, string, time.Duration) { p.store.DropHistory() },
 		"crash":              p.crash,
+		"restart_workers":    p.restartWorkers,
 		"fails":              p.setBehaviour,
 		"hangs":              p.setBehaviour,
 		"slow":               p.setBehaviour,
@@ -522,6 +531,20 @@
 	}
 }
 
+// restartWorkers restarts workers under their ID, some of them twice and some as if their time of day had been set back.
+func (p *dayRun) restartWorkers(f *dayFault, _ string, length time.Duration) {
+	for i, id := range p.instances(f) {
+		p.fleet.Restart(id, time.Now().UnixMilli())
+		time.Sleep(length)
+		if i%3 == 0 {
+			p.fleet.Restart(id, time.Now().UnixMilli())
+		}
+		if i%4 == 3 {
+			p.fleet.Restart(id, time.Now().Add(-time.Hour).UnixMilli())
+		}
+	}
+}
+
 // shrink makes workers report less capacity for the duration of the fault.
 func (p *dayRun) shrink(f *dayFault, _ string, length time.Duration) {
 	ids := p.instances(f)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -41,7 +41,7 @@
 	// weakCPUShare is the share of a core below which an entry leads only if no entry with more CPU does.
 	weakCPUShare = 0.3
 	// weakRankOffset, firstStartRankOffset and rankSpread order the candidates for the lease; see Entry.rank.
-	weakRankOffset       = 12
+	weakRankOffset       = leader.LastRank
 	firstStartRankOffset = 4
 	rankSpread           = 4
 )
@@ -78,6 +78,8 @@
 	Reload func() (deployment.Settings, error)
 	// MetricsPort is the port of the entry's own address on which /metrics is served, 0 for none.
 	MetricsPort int
+	// NoSeparation reports that tasks aren't kept apart that slow each other down on one worker.
+	NoSeparation bool
 	// Store, Workers, Provider (the instance service) and Policy (the policy service) are the platform's clients;
 	// Provider and Policy are nil if the deployment has no such service.
 	Store    *table.Store
@@ -117,6 +119,11 @@
 	// it never was. configUnreadable is set while the newest one can't be decoded.
 	configCheckedAt  atomic.Int64
 	configUnreadable bool
+	// toldLeader is the latest leader that other entries have told this one, nil if none has.
+	toldLeader atomic.Pointer[leader.Record]
+	advisers   advisers
+	// sourceTurn selects the entry that is asked for the operator's rows; it rises when one can't tell.
+	sourceTurn int
 	// keyTime is how long after the last check of the configuration keys are relied on, in nanoseconds, 0 for ever.
 	keyTime  atomic.Int64
 	stopping atomic.Bool
@@ -265,7 +272,7 @@
 	s.scheduler = &schedule.Scheduler{
 		Loop: s.loop, Log: s.Log, Store: s.Store, Workers: s.relayClient.Workers(), Provider: s.Provider, Policy: s.Policy,
 		Bounds: s.Settings.Bounds, Limits: s.Settings.InstanceService, RowBytes: s.Settings.Store.RowBytes, Metrics: s.metrics, Holder: s.Settings.Name, Epoch: epoch,
-		Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
+		SeparateImages: !s.NoSeparation, Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
 		InstanceOrdersFrom: make(map[string]time.Duration),
 		Rows:               s.Codec.RowCodec,
 	}
@@ -284,7 +291,7 @@
 		return
 	}
 	if !previous.Released {
-		s.scheduler.OrdersFrom = now + minGap - time.Duration(previous.LeaseMillis)*time.Millisecond
+		s.scheduler.OrdersFrom = now + minGap - previous.Duration()
 		return
 	}
 	for instance, age := range previous.RecentOrders {
--- a/keel/emulator/checker.go
+++ b/keel/emulator/checker.go
@@ -18,8 +18,14 @@
 	CancelTime time.Duration
 	// DisruptionTime is the time without a run after which a long-running task counts against its disruption budget.
 	DisruptionTime time.Duration
+	// MaxSlowdown is the longest time for which best-effort tasks may keep a task over its target, 0 for no limit.
+	MaxSlowdown time.Duration
 	// QueuePools maps the name of each queue to that of its pool, for Watch.
 	QueuePools map[string]string
+	// CapOverage is the fraction by which a tenant's running tasks may exceed its cap. ConfigTime is the time for which an earlier
+	// version of the tenants may be in force after the next one.
+	CapOverage float64
+	ConfigTime time.Duration
 
 	mu         sync.Mutex
 	fleet      *Fleet
@@ -31,6 +37,7 @@
 	// activeFaults counts the faults in progress that FaultBegan recorded; disturbedAt is the end of the last one.
 	activeFaults int
 	disturbedAt  time.Time
+	use          tenantUse
 }
 
 // jobRecord is the true state of one job.
@@ -212,6 +219,7 @@
 	step := &j.job.Steps[o.Task.Step]
 	task := j.task(o.Task)
 	c.checkStart(w, j, task, step, o)
+	c.addUse(j, step, o.Task)
 	task.running[&run{task: o.Task, number: o.Run}] = w
 	task.step, task.startedAt = step, time.Now()
 	return step, c.taskDuration(w, j, step, o.Task)
--- a/keel/schedule/cost.go
+++ b/keel/schedule/cost.go
@@ -13,12 +13,24 @@
 	maintenanceDueCost = 2.0
 	// crowdingCost spreads a step's best-effort tasks over the workers.
 	crowdingCost = 2.0
+	// throttledCost keeps best-effort tasks off workers where they are throttled for the sake of another task.
+	throttledCost = 10.0
 )
 
 // cost returns the placement cost of the step on the worker; the lowest cost is selected.
 func (pl *planner) cost(step *stepState, w *workerState, free work.Size, reserved reservations) float64 {
-	cost := share(free.MilliCores, w.Capacity.MilliCores)
 	spec := step.spec
+	cost := share(free.MilliCores, w.Capacity.MilliCores)
+	if spec.BestEffort {
+		// Best-effort tasks use idle processor time, so the emptiest worker is preferred.
+		cost = crowdingCost*float64(w.perStep[step]) - cost
+		if w.pace.strained() {
+			cost += throttledCost
+		}
+	}
+	if len(pl.s.separation.conflicts[spec.Image]) > 0 {
+		cost = separatedShare*cost + pl.s.separationCost(step, w)
+	}
 	if home := step.occurrence.job.Home; home != "" && home != w.DataCentre {
 		cost += remoteDataCentreCost
 	}
@@ -31,10 +43,6 @@
 	if spec.LongRunning && pl.s.maintenanceDue(w.Instance) {
 		cost += maintenanceDueCost
 	}
-	if spec.BestEffort {
-		// Best-effort tasks use idle processor time, so the emptiest worker is preferred.
-		cost = -cost + crowdingCost*float64(w.perStep[step])
-	}
 	return cost
 }
 
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -91,6 +91,7 @@
 func (s *Scheduler) checkRuns(now time.Duration) {
 	for _, w := range s.workers {
 		if w.unresponsiveSince != 0 {
+			w.pace.overSince = 0
 			for _, r := range w.runs {
 				r.checkSpeculation(now)
 			}
@@ -100,6 +101,7 @@
 			// Runs of an earlier leader, and runs that were starting, are known only later than the registration.
 			s.evictAllLongRunning(w)
 		}
+		s.adjustPace(w, now)
 		stalled := make(map[work.TaskID]*run)
 		for id, r := range w.runs {
 			r.checkSpeculation(now)
@@ -118,7 +120,10 @@
 // isStalled reports whether the run makes no progress although its worker lists it. It is stopped then, so that its task
 // restarts, and its worker is avoided.
 func (r *run) isStalled() bool {
-	return r.confirmedAt != 0 && !r.stopping && !r.task.step.spec.LongRunning && r.speedPercent != 0 && r.listedAt-r.progressedAt >= stallTimeout
+	if r.confirmedAt == 0 || r.stopping || r.task.step.spec.LongRunning || r.speedPercent == 0 || r.listedAt < r.paceDoubtUntil {
+		return false
+	}
+	return r.listedAt-r.progressedAt >= stallTimeout*fullSpeedPercent/time.Duration(r.speedPercent)
 }
 
 // evictAllLongRunning stops all long-running tasks of a draining worker, so that they restart elsewhere.
@@ -155,7 +160,7 @@
 	if r.worker.unresponsiveSince != 0 {
 		return r.survived() >= startCrashTime || !r.worker.mayHaveCrashed()
 	}
-	return r.confirmedAt != 0 && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
+	return r.confirmedAt != 0 && r.speedPercent == fullSpeedPercent && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
 }
 
 // checkSpeculation marks the run's job if the task needs a speculative run.
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -36,20 +36,25 @@
 		return
 	}
 	w.renewing = true
+	w.renewals++
+	renewal := w.renewals
 	now := s.Now()
 	w.renewedAt = now
-	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acked}
-	if w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0 {
+	order := worker.RenewOrder{Token: s.Epoch, Acknowledged: w.acknowledgement(now)}
+	if s.mayExtendLease(w) {
 		if !w.startUnsettled {
 			order.LeaseEnd = s.extendLease(w)
 		}
 		if len(w.ends) == 0 {
 			order.Wait = w.renewalWait(now)
 		}
+		if s.Bounds.MaxSlowdownTime > 0 && w.hasServingBesideBestEffort() {
+			order.Wait = min(order.Wait, servingWait)
+		}
 		order.EndsSuffice = order.Wait > 0 && now-w.listedAt < listingInterval && !w.hasDoubtfulRun()
 	}
 	s.sendRenewal(w.target(), order, func(status worker.Status, err error) {
-		if s.epochEnded() {
+		if s.epochEnded() || renewal != w.renewals {
 			return
 		}
 		w.renewing = false
@@ -58,10 +63,19 @@
 		}
 		s.Metrics.addRenewal()
 		s.recordBrokenCall(w, now, order.Wait+renewTimeoutMargin, err)
+		if err == nil && status.Refusal == worker.Accepted {
+			w.recordAcknowledged(order.Acknowledged)
+		}
 		s.handleRenewal(w, now, status, err)
 	})
 }
 
+// mayExtendLease reports whether the worker's next renewal may extend its lease, but for starts with an unknown outcome.
+func (s *Scheduler) mayExtendLease(w *workerState) bool {
+	responds := w.fenced && w.unresponsiveSince == 0 && !w.renewalFailed
+	return responds && w.isBootSettled() && !w.leaseEndStored && len(s.lateStarts[w.ID]) == 0
+}
+
 // sendRenewal sends the renewal and calls done on the control loop when it has ended, which may be after the end of the
 // epoch.
 func (s *Scheduler) sendRenewal(target worker.Target, order worker.RenewOrder, done func(worker.Status, error)) {
@@ -80,6 +94,7 @@
 		s.scheduleRenewal(w, renewRetry)
 		return
 	}
+	s.checkBoot(w, status.Reply)
 	s.recordClock(w, status.Reply)
 	switch status.Refusal {
 	case worker.Accepted:
@@ -137,7 +152,7 @@
 	case len(w.ends) > 0:
 		// The next renewal follows as soon as these ends are stored; this one is the fallback.
 		s.scheduleRenewal(w, renewRetry)
-	case len(w.runs)+len(w.orphans) > 0:
+	case len(w.runs)+len(w.orphans) > 0 || w.awaitsAcknowledgement() || w.endedBoot != nil:
 		s.scheduleRenewal(w, minRenewInterval)
 	}
 }
@@ -184,6 +199,7 @@
 // request.
 func (s *Scheduler) applyStatus(w *workerState, sent time.Duration, status worker.Status) {
 	w.listings++
+	w.heardAt = s.Now()
 	for _, live := range status.Running {
 		s.applyRunning(w, live)
 	}
@@ -194,6 +210,9 @@
 		}
 	}
 	s.recordMoreEnds(w, status)
+	if w.endedBoot != nil && !status.Partial && !status.MoreEnds {
+		s.settleEndedBoot(w, sent)
+	}
 	if !status.Partial {
 		s.removeUnlisted(w, sent, status)
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -27,6 +27,8 @@
 	worker *workerState
 	number int64
 	size   work.Size
+	// tenant is the tenant that the run counts for, nil once it no longer does.
+	tenant *tenantState
 	// removed is set once the run is certain to be over.
 	removed bool
 	// ordered is when the start order was sent.
@@ -52,9 +54,21 @@
 	progressedAt time.Duration
 	listedAt     time.Duration
 	// listing is the number of the worker's list that last contained the run.
-	listing      int64
-	load         float64
-	speedPercent int
+	listing int64
+	load    float64
+	// sampledAt is when the load was last added to the table of slowdowns. besideAtStart holds the images beside the run when
+	// it started, useAtStart the used share of the worker.
+	sampledAt     time.Duration
+	besideAtStart []string
+	useAtStart    float64
+	// speedPercent is the speed to which the run was last throttled, paced is set once that is known of a run that an earlier
+	// leader started. pacing is set while an order to throttle it is in flight; the next one is sent from paceAgainAt on.
+	speedPercent  int
+	paced, pacing bool
+	paceAgainAt   time.Duration
+	// paceDoubtUntil is until when an order to throttle the run that had no response may be carried out. haltedSince is when its
+	// worker accepted that it be halted, 0 if it isn't.
+	paceDoubtUntil, haltedSince time.Duration
 	// isolation is how far the run is kept apart from others until it has lasted long enough.
 	isolation suspicion
 	// awaitingEndSince is when the worker first listed neither the run, which is over, nor its end, 0 before that.
@@ -103,7 +117,9 @@
 	t.nextRun = max(t.nextRun, number+1)
 	w.runs[t.id()] = r
 	w.used = w.used.Plus(r.size)
+	r.charge()
 	w.perStep[t.step]++
+	w.countImage(t.step, 1)
 	return r
 }
 
@@ -126,6 +142,7 @@
 	r.awaitingEndSince = now
 	r.worker.used = r.worker.used.Minus(r.size)
 	r.size = work.Size{}
+	r.discharge()
 }
 
 // removeRun removes a run that is certain to be over, and makes its task startable again if it is not done.
@@ -139,7 +156,9 @@
 	delete(w.runs, t.id())
 	r.setIsolation(unsuspected)
 	w.used = w.used.Minus(r.size)
+	r.discharge()
 	w.perStep[t.step]--
+	w.countImage(t.step, -1)
 	if w.perStep[t.step] == 0 {
 		delete(w.perStep, t.step)
 	}
@@ -157,7 +176,9 @@
 
 // start orders the worker to start the task.
 func (s *Scheduler) start(t *task, w *workerState, number int64, ticket string) {
+	beside, use := s.noteStart(t.step, w)
 	r := s.addRun(t, w, number)
+	r.besideAtStart, r.useAtStart = beside, use
 	r.setIsolation(t.suspicion())
 	j := t.job()
 	if !j.started {
@@ -182,6 +203,9 @@
 		if s.starts.held && s.starts.mayPlan() {
 			s.schedulePlan()
 		}
+		if err != nil && fault.As(err).Outcome() != fault.NotRun {
+			s.noteUnanswered(r)
+		}
 		if r.removed {
 			return
 		}
@@ -360,6 +384,7 @@
 	}
 	r.listedAt, r.listing = now, r.worker.listings
 	r.load = live.Load
+	s.observeTail(r, now)
 	if live.Checkpoint != "" {
 		r.task.checkpoint = live.Checkpoint
 	}
