--- a/keelctl/check.go
+++ b/keelctl/check.go
@@ -16,6 +16,7 @@
 
 type checkCommand struct {
 	RowBytes int    `long:"row-bytes" value-name:"N" description:"maximum size of a row of the store, as the deployment's settings say"`
+	Strict   bool   `long:"strict" description:"end with 1 also if there are only warnings"`
 	Against  string `long:"against" value-name:"FILE" description:"compare with the version in a file"`
 	InForce  string `long:"in-force" value-name:"ADDRESS" description:"compare with the version in force, from an entry's metrics address"`
 	Args     struct {
@@ -32,18 +33,19 @@
 	Changes  []configcheck.Change `json:"changes,omitempty"`
 }
 
-// Execute checks the configuration. It fails if there are findings.
+// Execute checks the configuration. It fails with findingsError if there are errors in it, or warnings with --strict, and with
+// uncheckedError if it couldn't be checked.
 func (c *checkCommand) Execute([]string) error {
 	value, err := c.read()
 	if err != nil {
-		return err
+		return uncheckedError{err}
 	}
 	before, err := c.inForce()
 	if err != nil {
-		return err
+		return uncheckedError{err}
 	}
 	out := report{Compared: before.Version}
-	config, findings := platform.CheckConfig(value, configcheck.Bounds{RowBytes: c.RowBytes, InForce: before.Version})
+	config, findings := platform.CheckConfig(value, configcheck.Bounds{RowBytes: c.RowBytes, Compared: before.Version})
 	out.Findings = findings
 	if config != nil {
 		out.Version = config.Version
@@ -53,9 +55,9 @@
 	}
 	err = show(out, checkTable)
 	if err != nil {
-		return err
+		return uncheckedError{err}
 	}
-	if len(findings) > 0 {
+	if configcheck.HasErrors(findings) || c.Strict && len(findings) > 0 {
 		return findingsError(len(findings))
 	}
 	return nil
@@ -64,8 +66,14 @@
 // findingsError is the number of findings of a check, which ends with exitFindings.
 type findingsError int
 
-// exitFindings is the exit code of a check with findings, as linters have it.
-const exitFindings = 1
+// uncheckedError is why a configuration couldn't be checked, which ends with exitUnchecked.
+type uncheckedError struct{ error }
+
+// The exit codes of a check are those of linters.
+const (
+	exitFindings  = 1
+	exitUnchecked = 2
+)
 
 // Error returns the number of findings in words.
 func (e findingsError) Error() string { return fmt.Sprintf("%d findings", int(e)) }
@@ -97,7 +105,8 @@
 		return before, fault.New(fault.Usage, "--against and --in-force exclude each other")
 	case c.InForce != "":
 		entry := &client.Client{Addresses: []string{c.InForce}, Timeout: cli.Timeout}
-		return before, entry.Get(inForcePath, &before)
+		err := entry.Get(inForcePath, &before)
+		return before, err
 	case c.Against != "":
 		value, err := readConfig(c.Against)
 		if err != nil {
--- a/keelctl/main.go
+++ b/keelctl/main.go
@@ -75,8 +75,11 @@
 	if _, ok := err.(*flags.Error); ok {
 		return fault.Usage.Properties().ExitCode
 	}
-	if _, ok := err.(findingsError); ok {
+	switch err.(type) {
+	case findingsError:
 		return exitFindings
+	case uncheckedError:
+		return exitUnchecked
 	}
 	if fault.As(err).Outcome() == fault.Unknown {
 		// The command may have taken effect, so the exit code is at least that of an unknown outcome, whatever the
