--- a/keel/schedule/backlog.go
+++ b/keel/schedule/backlog.go
@@ -17,9 +17,10 @@
 const (
 	classLongRunning = iota
 	classOnTime
-	// classBeyond is the class of jobs that can meet their objective and are beyond what their tenant is owed.
+	// classBeyond is the class of jobs that can meet their objective and are beyond what their tenant is owed, or over its share of
+	// the pool.
 	classBeyond
-	// classLate is the class of jobs that can no longer meet their objective, classLateBeyond of those beyond what is owed.
+	// classLate is the class of jobs that can no longer meet their objective, classLateBeyond the same behind it.
 	classLate
 	classLateBeyond
 	// classCount is the number of classes.
@@ -186,7 +187,7 @@
 func (b *backlog) count(place rank, lateAt time.Duration, unfinished openWork) {
 	j := place.job
 	e := &j.entry
-	e.work, e.tasks, e.onTime = unfinished, j.waiting, place.class <= classOnTime
+	e.work, e.tasks, e.onTime = unfinished, j.waiting, place.class <= classBeyond && !j.beyond
 	b.total.add(e.work)
 	b.tasks += e.tasks
 	if e.onTime {
@@ -255,16 +256,16 @@
 }
 
 // serviceClass ranks long-running jobs first, then jobs that can still meet their objective, then late jobs, and in both cases
-// those behind that are beyond what their tenant is owed.
+// those behind that are beyond what their tenant is owed, or over its share of the pool.
 func (j *job) serviceClass(now, lateAt time.Duration) int {
 	switch {
 	case j.LongRunning():
 		return classLongRunning
-	case now <= lateAt && j.beyond:
+	case now <= lateAt && (j.beyond || j.overShare):
 		return classBeyond
 	case now <= lateAt:
 		return classOnTime
-	case j.beyond:
+	case j.beyond || j.overShare:
 		return classLateBeyond
 	}
 	return classLate
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -8,6 +8,7 @@
 
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/provider"
+	"samphirekeel.example/keel/tenant"
 )
 
 // demand compares the capacity that a pool requires with what it has, in milli-cores.
@@ -95,6 +96,7 @@
 			continue
 		}
 		d := &demand{pool: p}
+		var capacity tenant.Cap
 		d.required, d.requiredOnTime = p.requiredCapacity(now, s.joinTime(), s.fleet.mayRun)
 		for w := range p.workers {
 			if !s.healthy(w, now) {
@@ -102,6 +104,7 @@
 			}
 			if now >= w.reclaimedUntil {
 				d.capacity += w.Capacity.MilliCores
+				capacity = capacity.Plus(tenant.Cap(w.Capacity))
 				d.used += w.used.MilliCores
 			}
 			if len(w.runs) == 0 {
@@ -119,6 +122,7 @@
 				d.incoming += in.capacity
 			}
 		}
+		d.setRoom(capacity)
 		all = append(all, d)
 	}
 	slices.SortFunc(all, func(a, b *demand) int { return strings.Compare(a.pool.name, b.pool.name) })
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -22,6 +22,8 @@
 	// tenant is nil for a job of no tenant. beyond is set if the tenant had sent more than it is owed when the job arrived.
 	tenant *tenantState
 	beyond bool
+	// overShare is set if the tenant had sent more work than its share of the pool when the job arrived.
+	overShare bool
 	// mayPassCap is set while the job may start tasks although others before it wait for room under their tenant's cap.
 	mayPassCap bool
 	// version is the version of the submission's row, 0 if there may be none; rows holds the keys and versions of the job's rows
@@ -224,6 +226,7 @@
 	if record.Progress != nil {
 		s.restore(j, record.Progress)
 	}
+	s.setShare(j)
 	s.countArrival(j)
 	s.updatePending(j)
 	if s.pendingCancels[j.ID] {
--- a/keel/schedule/keep.go
+++ b/keel/schedule/keep.go
@@ -13,18 +13,6 @@
 	workers map[*workerState]bool
 }
 
-// hasBeyond reports whether jobs wait that are beyond what their tenants are owed.
-func (b *backlog) hasBeyond() bool {
-	found := false
-	for _, class := range []int{classBeyond, classLateBeyond} {
-		walk(b.waiting, startOf(class), startOf(class+1), func(*job) bool {
-			found = true
-			return false
-		})
-	}
-	return found
-}
-
 // keepFor keeps workers for n tasks of the step that found no room: those with the most room already, so that each pass keeps the
 // same ones.
 func (pl *planner) keepFor(step *stepState, n int) {
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -62,7 +62,7 @@
 		return
 	}
 	pl := s.newPlanner(p, now)
-	pl.kept.wanted = p.backlog.hasBeyond()
+	pl.kept.wanted = s.caps.beyond > 0
 	if !pl.placeWaiting(&p.backlog) {
 		// The jobs that were not reached may need the workers that an earlier pass found missing.
 		pl.missing.merge(p.missing)
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"samphirekeel.example/keel/tenant"
+)
 
 // pool holds a pool's workers and the open jobs of its queues.
 type pool struct {
@@ -9,6 +13,9 @@
 	jobs     map[*job]bool
 	backlog  backlog
 	arrivals arrivals
+	// room is the capacity of the workers, as of the last rebalancing; shares holds what tenants take of it.
+	room   tenant.Cap
+	shares map[*tenantState]*poolShare
 	// missing is what the latest placement pass lacked although the pool may have capacity for it.
 	missing missing
 	// waitingSuspects is the number of suspected tasks that the latest placement pass did not start.
@@ -20,7 +27,7 @@
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, workers: make(map[*workerState]bool), jobs: make(map[*job]bool), trialCrashes: make(map[string]time.Duration), backlog: newBacklog(s)}
+		p = &pool{name: name, workers: make(map[*workerState]bool), jobs: make(map[*job]bool), trialCrashes: make(map[string]time.Duration), shares: make(map[*tenantState]*poolShare), backlog: newBacklog(s)}
 		s.pools[name] = p
 	}
 	return p
--- a/keel/schedule/route.go
+++ b/keel/schedule/route.go
@@ -37,11 +37,13 @@
 	}
 	if j.pool != nil {
 		delete(j.pool.jobs, j)
+		j.pool.leaveShare(j)
 		j.pool.backlog.remove(j)
 	}
 	j.pool, j.touched = p, false
 	if p != nil {
 		p.jobs[j] = true
+		p.joinShare(j)
 	}
 }
 
--- a/keel/schedule/share.go
+++ b/keel/schedule/share.go
@@ -25,6 +25,8 @@
 // caps holds the tenants with jobs and what they may use. It is empty where no job has a tenant.
 type caps struct {
 	byName map[string]*tenantState
+	// beyond is the number of open jobs beyond what their tenants are owed.
+	beyond int
 	// unheard is the capacity of the workers that may run tasks of earlier epochs unseen.
 	unheard tenant.Cap
 }
@@ -98,6 +100,7 @@
 	if t.removed || t.weight > 0 && !t.rate.take(j.arrived, t.weight) {
 		j.beyond = true
 		t.beyond++
+		s.caps.beyond++
 	}
 }
 
@@ -129,8 +132,14 @@
 		return
 	}
 	t.jobs--
+	if j.beyond {
+		s.caps.beyond--
+	}
 	if t.jobs == 0 && t.used == (tenant.Cap{}) && s.Config != nil && s.Config.Tenants.ByName(t.name) == nil {
 		delete(s.caps.byName, t.name)
+		for _, p := range s.pools {
+			delete(p.shares, t)
+		}
 	}
 }
 
