--- a/keel/schedule/fair.go
+++ b/keel/schedule/fair.go
@@ -73,6 +73,7 @@
 	share.at = max(share.at, j.arrived)
 	if share.seconds <= 0 {
 		j.overShare = true
+		j.tenant.over++
 		j.touch()
 		return
 	}
--- a/keel/schedule/share.go
+++ b/keel/schedule/share.go
@@ -53,8 +53,9 @@
 	// head is the first of them that waits for runs to end, as of the last pass, without a job if there is none.
 	head rank
 	rate owedRate
-	// jobs is the number of open jobs; beyond counts the jobs beyond the owed rate since the last report.
-	jobs, beyond int
+	// jobs is the number of open jobs; beyond counts the jobs beyond the owed rate since the last report, over those over the share of
+	// their pool.
+	jobs, beyond, over int
 }
 
 // owedRate is a token bucket over the times at which jobs were accepted.
--- a/keel/schedule/share_check_test.go
+++ b/keel/schedule/share_check_test.go
@@ -21,6 +21,7 @@
 			}
 		}
 	}
+	b.checkShares()
 	for _, t := range b.s.caps.byName {
 		if t.used != used[t] || t.unseen != unseen[t] || t.capped.Len() != capped[t] {
 			b.t.Errorf("tenant %s: %+v used, %+v unseen, %d jobs capped; %+v, %+v, %d by its jobs", t.name, t.used, t.unseen, t.capped.Len(), used[t], unseen[t], capped[t])
@@ -30,3 +31,20 @@
 
 // tenantOf returns the name of the tenant that submitted the run's job.
 func (b *testbed) tenantOf(r *run) string { return b.checker.TenantOf(r.task.job().ID) }
+
+// checkShares compares the number of jobs that each tenant has in a pool with the pool's jobs.
+func (b *testbed) checkShares() {
+	for _, p := range b.s.pools {
+		jobs := make(map[*tenantState]int)
+		for j := range p.jobs {
+			if j.tenant != nil && !j.LongRunning() {
+				jobs[j.tenant]++
+			}
+		}
+		for t, share := range p.shares {
+			if share.jobs != jobs[t] {
+				b.t.Errorf("pool %s: %d jobs of tenant %s, %d by its jobs", p.name, share.jobs, t.name, jobs[t])
+			}
+		}
+	}
+}
--- a/keel/schedule/share_report.go
+++ b/keel/schedule/share_report.go
@@ -15,20 +15,20 @@
 	otherTenants   = "other"
 )
 
-// reportTenants logs the tenants at their cap or beyond what they are owed, and sets the metrics of all.
+// reportTenants logs the tenants at their cap, beyond what they are owed or over their share, and sets the metrics of all.
 func (s *Scheduler) reportTenants() {
 	s.Metrics.resetTenants()
 	for _, name := range slices.Sorted(maps.Keys(s.caps.byName)) {
 		t := s.caps.byName[name]
-		if t.capped.Len() > 0 || t.beyond > 0 {
+		if t.capped.Len()+t.beyond+t.over > 0 {
 			s.Log.Write(event.TenantLimited, event.Fields{
 				"tenant": t.name, "weight": t.weight, "cap_cpu": t.limit.MilliCores, "cap_mem": t.limit.MemoryMB, "cap_acc": t.limit.Accelerators,
 				"used_cpu": t.used.MilliCores, "unseen_cpu": t.unseen.Least(s.caps.unheard).MilliCores, "share": t.limit.DominantShare(t.used),
-				"jobs": t.jobs, "capped": t.capped.Len(), "beyond": t.beyond,
+				"jobs": t.jobs, "capped": t.capped.Len(), "beyond": t.beyond, "over_share": t.over,
 			})
 		}
 		s.Metrics.addTenant(t)
-		t.beyond = 0
+		t.beyond, t.over = 0, 0
 	}
 }
 
@@ -39,6 +39,7 @@
 	share  *prometheus.GaugeVec
 	capped *prometheus.GaugeVec
 	beyond *prometheus.CounterVec
+	over   *prometheus.CounterVec
 }
 
 func newTenantMetrics(registry prometheus.Registerer) tenantMetrics {
@@ -57,8 +58,11 @@
 		beyond: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "samphirekeel_tenant_jobs_beyond_total", Help: "Jobs beyond the number a second that their tenant is owed.",
 		}, labels),
+		over: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "samphirekeel_tenant_jobs_over_share_total", Help: "Jobs whose tenant had sent more work than its share of the pool.",
+		}, labels),
 	}
-	registry.MustRegister(m.used, m.share, m.capped, m.beyond)
+	registry.MustRegister(m.used, m.share, m.capped, m.beyond, m.over)
 	return m
 }
 
@@ -79,6 +83,7 @@
 	m.tenants.used.WithLabelValues(name).Add(float64(t.used.MilliCores))
 	m.tenants.capped.WithLabelValues(name).Add(float64(t.capped.Len()))
 	m.tenants.beyond.WithLabelValues(name).Add(float64(t.beyond))
+	m.tenants.over.WithLabelValues(name).Add(float64(t.over))
 	if name != otherTenants {
 		m.tenants.share.WithLabelValues(name).Set(t.limit.DominantShare(t.used))
 	}
