--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -68,6 +68,9 @@
 		return callOther
 	}
 	from, err := s.authorise(checkedConfig{config, current}, q, &ctx.Request.Header)
+	if config.Tenants != nil && !q.Public {
+		defer func() { s.tenants.observe(from.tenant, ctx.Response.StatusCode()) }()
+	}
 	if err != nil {
 		writeError(ctx, err)
 		return callOther
@@ -273,7 +276,7 @@
 		return
 	}
 	s.Log.Write(event.CallUnanswered, event.Fields{
-		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.lease.Leader().Holder,
+		"job": name, "call": call, "kind": fault.As(err).Kind().String(), "reason": err.Error(), "leader": s.currentLeader().Holder,
 	})
 	writeError(ctx, err)
 }
--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -41,6 +41,8 @@
 		{"Leader, tasks and workers (1000)", scheduleEvents},
 		{"Tenants (1100)", tenantEvents},
 		{"Caps and shares of tenants (1150)", shareEvents},
+		{"Lease of the leader (1250)", leaseEvents},
+		{"Workers that boot again (1200)", bootEvents},
 	}
 }
 
