--- a/keel/schedule/share.go
+++ b/keel/schedule/share.go
@@ -25,6 +25,8 @@
 // caps holds the tenants with jobs and what they may use. It is empty where no job has a tenant.
 type caps struct {
 	byName map[string]*tenantState
+	// beyond is the number of open jobs beyond what their tenants are owed.
+	beyond int
 	// unheard is the capacity of the workers that may run tasks of earlier epochs unseen.
 	unheard tenant.Cap
 }
@@ -51,8 +53,9 @@
 	// head is the first of them that waits for runs to end, as of the last pass, without a job if there is none.
 	head rank
 	rate owedRate
-	// jobs is the number of open jobs; beyond counts the jobs beyond the owed rate since the last report.
-	jobs, beyond int
+	// jobs is the number of open jobs; beyond counts the jobs beyond the owed rate since the last report, over those over the share of
+	// their pool.
+	jobs, beyond, over int
 }
 
 // owedRate is a token bucket over the times at which jobs were accepted.
@@ -98,6 +101,7 @@
 	if t.removed || t.weight > 0 && !t.rate.take(j.arrived, t.weight) {
 		j.beyond = true
 		t.beyond++
+		s.caps.beyond++
 	}
 }
 
@@ -129,8 +133,14 @@
 		return
 	}
 	t.jobs--
+	if j.beyond {
+		s.caps.beyond--
+	}
 	if t.jobs == 0 && t.used == (tenant.Cap{}) && s.Config != nil && s.Config.Tenants.ByName(t.name) == nil {
 		delete(s.caps.byName, t.name)
+		for _, p := range s.pools {
+			delete(p.shares, t)
+		}
 	}
 }
 
