--- a/keel/schedule/boot.go
+++ b/keel/schedule/boot.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"samphirekeel.example/keel/event"
@@ -15,6 +16,17 @@
 // minClockSetback is the difference by which a worker's clock must lag behind what it showed before to hint at another boot.
 const minClockSetback = time.Second
 
+// bootCauseTime is the time between the restarts of workers that may have a common cause: a series of them takes longer than a loss
+// of power.
+const bootCauseTime = 2 * time.Second
+
+// recentBoot is a restart of a worker that became known at a time, with the tasks of the runs that it ended.
+type recentBoot struct {
+	worker string
+	at     time.Duration
+	tasks  map[*task]bool
+}
+
 // endedBoot is a boot of a worker whose runs have not been settled.
 type endedBoot struct {
 	worker.Boot
@@ -118,7 +130,34 @@
 	aliveAt := w.aliveAt
 	w.aliveAt = ended.aliveAt
 	defer func() { w.aliveAt = aliveAt }()
-	return s.recordCrashUnder(w, ended.Boot, runs, "the worker has booted again", false)
+	now := s.Now()
+	s.recentBoots = slices.DeleteFunc(s.recentBoots, func(b recentBoot) bool { return now-b.at > bootCauseTime })
+	jobs := s.recordCrashUnder(w, ended.Boot, runs, "the worker has booted again", false)
+	boot := recentBoot{worker: w.ID, at: now, tasks: make(map[*task]bool)}
+	for _, r := range runs {
+		boot.tasks[r.task] = true
+		r.task.noteCrashOn(w.Instance)
+	}
+	s.recentBoots = append(s.recentBoots, boot)
+	return jobs
+}
+
+// mayBeOneOfSeries reports whether the run's worker may have crashed for the same reason as others that booted again lately without
+// its task, or as an earlier worker of its instance.
+func (s *Scheduler) mayBeOneOfSeries(r *run) bool {
+	now := s.Now()
+	return r.task.crashedOn[r.worker.Instance] || slices.ContainsFunc(s.recentBoots, func(b recentBoot) bool {
+		return b.worker != r.worker.ID && !b.tasks[r.task] && now-b.at <= bootCauseTime
+	})
+}
+
+// noteCrashOn records that the instance's worker has booted again under the task. If it does so a second time the instance may be
+// the cause, which is up again at once.
+func (t *task) noteCrashOn(instance string) {
+	if t.crashedOn == nil {
+		t.crashedOn = make(map[string]bool)
+	}
+	t.crashedOn[instance] = true
 }
 
 // noteUnanswered records that a start order of the run has had no response, as far as its worker may boot again under its ID. The
--- a/keel/schedule/boot_test.go
+++ b/keel/schedule/boot_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/ledger"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
 	"samphirekeel.example/keel/work"
@@ -346,6 +347,29 @@
 	})
 }
 
+// Guards against a task that crashes each worker for ever because these boot again at once under their ID.
+func TestDeadlyTaskOnRestartingWorkers(t *testing.T) {
+	withRestartingWorkers(t, func(b *testbed) {
+		b.fleet.Times.CrashTime = 50 * time.Millisecond
+		for _, id := range []string{"m1", "m2", "m3", "m4"} {
+			b.addInstance(id)
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		job := singleStepJob(firstJob, "p", 1, 300*time.Millisecond)
+		b.checker.Submitted(job, [][]time.Duration{{300 * time.Millisecond}}, false)
+		b.checker.MakeDeadly(work.TaskID{Job: firstJob}, 10*time.Millisecond)
+		submissions := &ledger.SubmissionWriter{Store: b.store.Client("entry")}
+		stored, err := submissions.Submit(context.Background(), job)
+		assert.NilError(t, err)
+		b.checker.Accepted(job.ID)
+		b.onLoop(func() { b.s.AddJob(stored.Job, stored.Version) })
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, b.state(), work.Failed)
+		assert.Assert(t, b.checker.Crashes(firstJob) <= 4, "%d crashes", b.checker.Crashes(firstJob))
+	})
+}
+
 // TestBootsInAnyOrder restarts a worker at drawn times while its tasks run and end, renewals and orders fail, registrations of
 // earlier boots are written late and leaders change. The checker finds runs at the same time and ends that are taken for others;
 // in the end all jobs are done.
--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -210,7 +210,7 @@
 // likeliest cause.
 func (s *Scheduler) crashedRun(r *run, limit time.Duration) work.CrashedRun {
 	w, id, survived := r.worker, r.task.id(), r.survived()
-	alone, common := w.runsOnly(r.task), s.hasCommonCause(r)
+	alone, common := w.runsOnly(r.task), s.hasCommonCause(r) || s.mayBeOneOfSeries(r)
 	likely := survived < limit || alone && survived < startCrashTime
 	suspect := alone || survived < startCrashTime
 	return work.CrashedRun{
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -118,7 +118,9 @@
 	// crashes counts the crashes under the task, nil if there are none or for a member of a gang.
 	crashes *crashHistory
 	// failedOn counts the task's failures by instance ID.
-	failedOn   map[string]int
+	failedOn map[string]int
+	// crashedOn holds the instances whose worker has booted again under the task.
+	crashedOn  map[string]bool
 	checkpoint string
 	// readySince is when the task last became able to start; notBefore is the end of its back-off after a failure.
 	readySince time.Duration
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -264,7 +264,7 @@
 func (pl *planner) selectFrom(c *candidates, step *stepState, t *task, reserved reservations) *workerState {
 	size := step.size()
 	// A task that failed, or has a run, may not start on every worker with room.
-	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.runs) == 0
+	unconstrained := step.unconstrained() && len(t.failedOn)+len(t.crashedOn)+len(t.runs) == 0
 	j := step.occurrence.job
 	var best placement
 	for _, g := range c.startingWith(j.Home) {
@@ -334,9 +334,10 @@
 	case !step.occurrence.job.mayRunIn(w.DataCentre):
 		return false
 	}
-	// A task is not retried on an instance where it failed while there are alternatives, for a while: these may have no
-	// room. Long-running tasks are exempt, because they fail on any instance.
-	return spec.LongRunning || t.failedOn[w.Instance] == 0 || len(pl.candidates.workers) <= len(t.failedOn) || pl.now-t.readySince > maxRetryElsewhere
+	// A task is not retried on an instance where it failed, or whose worker crashed, while there are alternatives, for a while:
+	// these may have no room. Long-running tasks are exempt, because they fail on any instance.
+	known := t.failedOn[w.Instance] > 0 || t.crashedOn[w.Instance]
+	return spec.LongRunning || !known || len(pl.candidates.workers) <= len(t.failedOn)+len(t.crashedOn) || pl.now-t.readySince > maxRetryElsewhere
 }
 
 // permits reports whether the step's label and its limit per worker permit more of its tasks on the worker.
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -94,6 +94,8 @@
 	givenUp map[*job]bool
 	// recentCrashes holds the crashes of workers within commonCauseTime.
 	recentCrashes []recentCrash
+	// recentBoots holds the restarts of workers within bootCauseTime.
+	recentBoots []recentBoot
 	// workerOf holds the latest worker of each instance.
 	workerOf map[string]*workerState
 	ledger   ledgerWriter
