--- a/keelctl/check_test.go
+++ b/keelctl/check_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -14,14 +12,7 @@
 // TestCheckExitCodes checks how keelctl check ends: 0 without errors, 1 with some, 2 if it couldn't check.
 func TestCheckExitCodes(t *testing.T) {
 	cli.Timeout = time.Second
-	write := func(name, text string) string {
-		path := filepath.Join(t.TempDir(), name)
-		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-		return path
-	}
-	good := write("good", `{"version":2,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","service":"p","stretch":1}],"services":[{"name":"p"}]}`)
-	unused := write("unused", `{"version":2,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","service":"p","stretch":1}],"services":[{"name":"p"},{"name":"q"}]}`)
-	wrong := write("wrong", `{"version":2,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","service":"q","stretch":1}],"services":[{"name":"q","spare":true}]}`)
+	const good, unused, wrong = "testdata/check/good.json", "testdata/check/unused_pool.json", "testdata/check/spare_pool.json"
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"version":1,"entries":{"pools":{"old":{}}}}`) }}
