--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -69,8 +69,8 @@
 	partitioned map[string]map[string]bool
 	// lateShare is the share of the orders to workers that are carried out late and get no response.
 	lateShare float64
-	// disturbances holds, by image and image beside it, the factor by which runs are slowed down.
-	disturbances map[[2]string]float64
+	// slowdowns holds, by image and image beside it, the factor by which runs are slowed down.
+	slowdowns map[[2]string]float64
 	// recentOrders holds the times of the orders to instances in the last second.
 	recentOrders []time.Time
 	stopped      bool
--- a/keel/emulator/interference.go
+++ b/keel/emulator/interference.go
@@ -5,35 +5,35 @@
 // idleTail is the tail latency of an undisturbed task that serves users, as a share of its target.
 const idleTail = 0.5
 
-// SetDisturbance makes runs of an image take factor times as long, and their tail factor times as long, beside a run of
+// SetSlowdown makes runs of an image take factor times as long, and their tail factor times as long, beside a run of
 // another image at full speed on the same worker; 1 ends that.
-func (f *Fleet) SetDisturbance(image, by string, factor float64) {
+func (f *Fleet) SetSlowdown(image, by string, factor float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.workers {
 		w.updateLocked()
 	}
-	if f.disturbances == nil {
-		f.disturbances = make(map[[2]string]float64)
+	if f.slowdowns == nil {
+		f.slowdowns = make(map[[2]string]float64)
 	}
-	f.disturbances[[2]string{image, by}] = factor
+	f.slowdowns[[2]string{image, by}] = factor
 }
 
 // slowdown returns the factor by which the runs beside it slow a run down; with reserved, best-effort runs don't count.
 func (w *Worker) slowdown(r *run, reserved bool) float64 {
 	factor := 1.0
-	if len(w.fleet.disturbances) == 0 {
+	if len(w.fleet.slowdowns) == 0 {
 		return factor
 	}
 	strongest := make(map[string]float64)
 	for _, other := range w.runs {
-		disturbance := w.fleet.disturbances[[2]string{r.step.Image, other.step.Image}]
-		if other != r && disturbance > 1 && (!reserved || !other.step.BestEffort) {
-			strongest[other.step.Image] = max(strongest[other.step.Image], 1+(disturbance-1)*other.cpuShare)
+		ratio := w.fleet.slowdowns[[2]string{r.step.Image, other.step.Image}]
+		if other != r && ratio > 1 && (!reserved || !other.step.BestEffort) {
+			strongest[other.step.Image] = max(strongest[other.step.Image], 1+(ratio-1)*other.cpuShare)
 		}
 	}
-	for _, disturbance := range strongest {
-		factor *= disturbance
+	for _, ratio := range strongest {
+		factor *= ratio
 	}
 	return factor
 }
--- a/keel/schedule/separation_test.go
+++ b/keel/schedule/separation_test.go
@@ -71,7 +71,7 @@
 // starts of the slowed image, in the last third of that time, beside the image that slows it.
 func playPair(b *testbed, duration time.Duration) float64 {
 	images := []string{"slowed", "slowing", "other"}
-	b.fleet.SetDisturbance("slowed", "slowing", 2)
+	b.fleet.SetSlowdown("slowed", "slowing", 2)
 	random := rand.New(rand.NewPCG(1, 1))
 	began, beside, starts := time.Now(), 0, 0
 	for n := 0; time.Since(began) < duration; n++ {
@@ -136,17 +136,17 @@
 
 // TestBestEffortGivesWay plays best-effort tasks that raise the tail latency of tasks that serve users above their target:
 // they give way within the time that the deployment allows (the Checker's guarantee), and run at full speed again
-// after the disturbance.
+// once that has ended.
 func TestBestEffortGivesWay(t *testing.T) {
 	withSeparation(t, 3, func(b *testbed) {
 		b.submit(servingJob(3), 0)
 		time.Sleep(3 * time.Second)
 		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(2 * time.Second)
-		b.fleet.SetDisturbance("web", "batch", 4)
+		b.fleet.SetSlowdown("web", "batch", 4)
 		time.Sleep(10 * time.Second)
 		assert.Check(t, len(b.speeds()) == 6 && allOf(b.speeds(), func(percent int) bool { return percent < 60 }), "%v", b.speeds())
-		b.fleet.SetDisturbance("web", "batch", 1)
+		b.fleet.SetSlowdown("web", "batch", 1)
 		time.Sleep(15 * time.Second)
 		assert.Check(t, allOf(b.speeds(), func(percent int) bool { return percent == fullSpeedPercent }), "%v", b.speeds())
 	})
@@ -183,10 +183,10 @@
 		b.submit(servingJob(3), 0)
 		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(3 * time.Second)
-		b.fleet.SetDisturbance("web", "batch", 4)
+		b.fleet.SetSlowdown("web", "batch", 4)
 		time.Sleep(5 * time.Second)
 		b.onLoop(b.s.End)
-		b.fleet.SetDisturbance("web", "batch", 1)
+		b.fleet.SetSlowdown("web", "batch", 1)
 		b.startSeparating(2)
 		time.Sleep(15 * time.Second)
 		var known []bool
@@ -220,7 +220,7 @@
 		b.submit(servingJob(3), 0)
 		b.submit(fillingJob(6), time.Hour)
 		time.Sleep(3 * time.Second)
-		b.fleet.SetDisturbance("web", "batch", 8)
+		b.fleet.SetSlowdown("web", "batch", 8)
 		time.Sleep(12 * time.Second)
 		assert.Check(t, calls.Load() > 6)
 	})
@@ -267,7 +267,7 @@
 	withSeparation(t, 2, func(b *testbed) {
 		b.submit(servingJob(1), 0)
 		time.Sleep(3 * time.Second)
-		b.fleet.SetDisturbance("web", "batch", 30)
+		b.fleet.SetSlowdown("web", "batch", 30)
 		filling := fillingJob(4)
 		filling.Steps[0].Checkpoints = true
 		b.submit(filling, time.Hour)
