--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -39,6 +39,7 @@
 		{"Jobs (800)", jobEvents},
 		{"Duties and platform (900)", dutyEvents},
 		{"Leader, tasks and workers (1000)", scheduleEvents},
+		{"Forecast of demand (1300)", forecastEvents},
 	}
 }
 
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/forecast"
 	"samphirekeel.example/keel/provider"
 )
 
@@ -16,6 +17,8 @@
 	required int64
 	// requiredOnTime is the part of required for long-running tasks and for jobs that can still meet their objective.
 	requiredOnTime int64
+	// wanted also holds what is expected.
+	wanted forecast.Capacity
 	// capacity is that of usable workers; incoming is that of instances that were ordered into the pool.
 	capacity, incoming int64
 	// used is the capacity that runs occupy.
@@ -47,6 +50,9 @@
 	return missing.workers > 0 && missing.suits(i)
 }
 
+// expectedShortfall returns the capacity that the pool lacks for an expected peak.
+func (d *demand) expectedShortfall() int64 { return d.wanted.Expected - d.capacity - d.incoming }
+
 // onTimeShortfall returns the capacity that the pool lacks for long-running tasks and for jobs that can still meet
 // their objective.
 func (d *demand) onTimeShortfall() int64 { return d.requiredOnTime - d.capacity - d.incoming }
@@ -83,7 +89,7 @@
 	for _, d := range demands {
 		s.Log.Write(event.PoolDemand, event.Fields{
 			"pool": d.pool.name, "need": d.required, "in_time": d.requiredOnTime, "have": d.capacity, "coming": d.incoming, "waiting": d.pool.backlog.tasks,
-			"idle": len(d.idle), "hosts": len(d.pool.workers), "rate": d.pool.arrivals.rate(now), "used": d.used, "jobs": len(d.pool.jobs),
+			"idle": len(d.idle), "hosts": len(d.pool.workers), "rate": int64(d.pool.arrivals.Level(now).PerSecond), "used": d.used, "jobs": len(d.pool.jobs),
 		})
 	}
 }
@@ -91,11 +97,13 @@
 func (s *Scheduler) demands(now time.Duration) []*demand {
 	var all []*demand
 	for name, p := range s.pools {
-		if s.Config.Pools[name].Spare || len(p.jobs)+len(p.workers) == 0 {
+		configured, ok := s.Config.Pools[name]
+		if configured.Spare || len(p.jobs)+len(p.workers) == 0 && !(ok && s.peaks.HasSeen(name)) {
 			continue
 		}
 		d := &demand{pool: p}
-		d.required, d.requiredOnTime = p.requiredCapacity(now, s.joinTime(), s.fleet.mayRun)
+		total, onTime := s.want(p, now)
+		d.required, d.requiredOnTime, d.wanted = total.Needed, onTime.Needed, total
 		for w := range p.workers {
 			if !s.healthy(w, now) {
 				continue
@@ -125,17 +133,6 @@
 	return all
 }
 
-// requiredCapacity returns the milli-cores that the pool's jobs can use after the horizon, when another instance could
-// have joined: what long-running tasks use, plus the expected arrivals, plus what clears the backlog within
-// backlogClearTime. The expected arrivals always count fully; the backlog counts while both together stay below what
-// the unfinished tasks could use in parallel now. The second result leaves out jobs that can no longer meet their
-// objective.
-func (p *pool) requiredCapacity(now, horizon time.Duration, mayRun func(*stepState) bool) (total, onTime int64) {
-	p.update(now, mayRun)
-	expected := p.arrivals.forecast(now, horizon)
-	return p.backlog.total.required(expected), p.backlog.onTime.required(expected)
-}
-
 // openWork is the unfinished work of jobs, in milli-cores.
 type openWork struct {
 	// longRunning is what long-running tasks use, runnable is what all other unfinished tasks use if they run in
@@ -155,10 +152,6 @@
 	w.backlog -= o.backlog
 }
 
-func (w *openWork) required(expected int64) int64 {
-	return w.longRunning + max(expected, min(w.runnable, expected+w.backlog))
-}
-
 // openWork returns the unfinished work of the job's ready steps; best-effort tasks take no capacity, and tasks that no
 // instance may run don't count.
 func (j *job) openWork(mayRun func(*stepState) bool) openWork {
--- a/keel/schedule/fleet.go
+++ b/keel/schedule/fleet.go
@@ -28,6 +28,9 @@
 	// scaleDownIdleTime is how long an instance must be idle before it moves to the spare pool. A second in the spare
 	// pool saves about 0.9 of the cost of a move.
 	scaleDownIdleTime = 1200 * time.Millisecond
+	// surplusIdleTime replaces scaleDownIdleTime while the pool needs less even if its latest jobs are few by chance: the
+	// time between two steps of a job, or until a waiting job may start.
+	surplusIdleTime = 300 * time.Millisecond
 	// backlogClearTime is the target time for clearing a backlog: about the average slack of jobs.
 	backlogClearTime = time.Second
 	// workerStartDelay is the time from a worker's start until it gets its first task.
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"samphirekeel.example/keel/forecast"
 )
 
 // outageTracker holds the outages in progress of the store's tables and, as "instances", of the instance service.
@@ -31,6 +33,8 @@
 	passes   prometheus.Histogram
 	delays   prometheus.Histogram
 	crashes  *prometheus.CounterVec
+	peaks    *prometheus.CounterVec
+	prepared prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -71,7 +75,13 @@
 	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirekeel_worker_crashes_total", Help: "Workers known to have crashed, by pool.",
 	}, []string{"pool"})
-	registry.MustRegister(m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
+	m.peaks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "samphirekeel_demand_peaks_total", Help: "Peaks of a pool's demand that began or ended, and expected ones that did not begin.",
+	}, []string{"change"})
+	m.prepared = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "samphirekeel_prepared_instances_total", Help: "Instances told to join another pool before an expected peak.",
+	})
+	registry.MustRegister(m.peaks, m.prepared, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
 
@@ -82,6 +92,18 @@
 	}
 }
 
+func (m *Metrics) addPeak(change forecast.Change) {
+	if m != nil {
+		m.peaks.WithLabelValues(change.String()).Inc()
+	}
+}
+
+func (m *Metrics) addPrepared() {
+	if m != nil {
+		m.prepared.Inc()
+	}
+}
+
 func (m *Metrics) addCrash(pool string) {
 	if m != nil {
 		m.crashes.WithLabelValues(pool).Inc()
--- a/keel/schedule/missing.go
+++ b/keel/schedule/missing.go
@@ -68,7 +68,7 @@
 }
 
 // workersFor returns how many additional workers the unplaced tasks need because of the step's constraints. Tasks that
-// only lack capacity count for none, because requiredCapacity covers them, unless one has waited for longer than that
+// only lack capacity count for none, because forecast.Want covers them, unless one has waited for longer than that
 // takes: then no worker has the free capacity in one piece, or the label.
 func (pl *planner) workersFor(step *stepState, tasks int) int {
 	switch {
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"samphirekeel.example/keel/forecast"
+)
 
 // pool holds a pool's workers and the open jobs of its queues.
 type pool struct {
@@ -8,7 +12,7 @@
 	workers  map[*workerState]bool
 	jobs     map[*job]bool
 	backlog  backlog
-	arrivals arrivals
+	arrivals forecast.Rate
 	// missing is what the latest placement pass lacked although the pool may have capacity for it.
 	missing missing
 	// waitingSuspects is the number of suspected tasks that the latest placement pass did not start.
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -27,6 +27,39 @@
 	for _, d := range demands {
 		s.scaleUpPool(demands, d, d.missing(s.instanceCapacity()), d.pool.missing.suits, false, now)
 	}
+	for _, d := range demands {
+		s.prepare(demands, d, now)
+	}
+}
+
+// prepare moves idle instances into a pool whose peak is expected to begin when they have joined it. It takes none that
+// another pool keeps and reclaims no worker.
+func (s *Scheduler) prepare(demands []*demand, to *demand, now time.Duration) {
+	for shortfall := to.expectedShortfall(); shortfall > 0; {
+		instance, capacity, from := s.selectInstance(demands, to, anyInstance, false, now)
+		if instance == "" {
+			return
+		}
+		s.prepareInstance(to, instance, capacity, from, now)
+		shortfall -= capacity
+	}
+}
+
+// prepareInstance moves an instance into a pool whose peak is expected.
+func (s *Scheduler) prepareInstance(to *demand, instance string, capacity int64, from string, now time.Duration) {
+	s.move(instance, to.pool.name, from, capacity, now, "a peak is expected")
+	s.Metrics.addPrepared()
+	to.incoming += capacity
+}
+
+// inviting returns another pool that may soon need the instance of an idle worker, nil if there is none.
+func (s *Scheduler) inviting(demands []*demand, from *demand, w *workerState, now time.Duration) *demand {
+	for _, d := range demands {
+		if d != from && d.capacity+d.incoming < d.wanted.Invited && s.movable(s.fleet.instances[w.Instance], d.pool.name, scaleDownRateShare, now) {
+			return d
+		}
+	}
+	return nil
 }
 
 // suitable reports whether an instance could run what a pool falls short for.
@@ -116,24 +149,39 @@
 	if spare == "" {
 		return
 	}
+	short := slices.ContainsFunc(demands, func(d *demand) bool { return d.shortfall() > 0 })
 	for _, d := range demands {
 		if d.pool.missing.workers > 0 {
 			continue
 		}
 		for _, w := range slices.Clone(d.idle) {
 			capacity := d.capacity - w.Capacity.MilliCores
-			if float64(capacity) < headroom*float64(d.required) || capacity < w.Capacity.MilliCores {
+			if float64(capacity) < headroom*float64(d.required) || capacity < d.wanted.Kept || capacity < w.Capacity.MilliCores {
 				break
 			}
-			if now-w.idleSince < scaleDownIdleTime || !s.movable(s.fleet.instances[w.Instance], spare, scaleDownRateShare, now) {
+			if now-w.idleSince < d.idleTime(capacity, short) || !s.movable(s.fleet.instances[w.Instance], spare, scaleDownRateShare, now) {
 				continue
 			}
-			s.move(w.Instance, spare, d.pool.name, 0, now, "instance is idle")
 			d.capacity = capacity
+			to := s.inviting(demands, d, w, now)
+			if to != nil {
+				s.prepareInstance(to, w.Instance, w.Capacity.MilliCores, d.pool.name, now)
+				continue
+			}
+			s.move(w.Instance, spare, d.pool.name, 0, now, "instance is idle")
 		}
 	}
 }
 
+// idleTime returns how long a worker must be idle before its instance moves to the spare pool, which leaves the pool the
+// capacity. A pool that is short may soon take an idle instance without that detour.
+func (d *demand) idleTime(capacity int64, short bool) time.Duration {
+	if !short && float64(capacity) >= headroom*float64(d.wanted.Most) {
+		return surplusIdleTime
+	}
+	return scaleDownIdleTime
+}
+
 func (s *Scheduler) sparePool() string {
 	name := ""
 	for _, p := range s.Config.Pools {
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -7,6 +7,7 @@
 	"samphirekeel.example/keel/control"
 	"samphirekeel.example/keel/deployment"
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/forecast"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
@@ -99,9 +100,11 @@
 	rosterChanges int64
 	storeClock    storeClock
 	fleet         fleetState
-	durations     durationModels
-	waves         waveState
-	outages       outageTracker
+	// peaks is learned anew in each epoch.
+	peaks     forecast.Peaks
+	durations durationModels
+	waves     waveState
+	outages   outageTracker
 	// unheard holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch, or have not yet
 	// listed all ends.
 	unheard map[string]*workerState
