--- a/keel/forecast/peaks.go
+++ b/keel/forecast/peaks.go
@@ -68,8 +68,8 @@
 	periods, turns rhythms
 	// latest is the pool whose peak began last.
 	latest *poolPeaks
-	// turnMissed is set if no peak has followed that one in time.
-	turnMissed bool
+	// turnAwaited is set if a peak of another pool was expected after that one, and turnMissed if it has not come.
+	turnAwaited, turnMissed bool
 }
 
 // poolPeaks is what is known of one pool's peaks.
@@ -86,8 +86,8 @@
 	peaks        int
 	// present is the highest rate that the present peak has certainly had; height is that of the peaks before.
 	present, height float64
-	// missed is set if the peak that was expected after the latest one has not come.
-	missed bool
+	// awaited is set if a peak was expected after the latest one, and missed if it has not come.
+	awaited, missed bool
 }
 
 // Outlook is what is expected of a pool's next peak.
@@ -157,12 +157,17 @@
 	if s.peaks > 0 {
 		p.periods.confirm(at-s.began, at)
 	}
-	if p.latest != nil && p.latest != s && at > p.latest.began {
+	turn := p.turns.current(1)
+	switch {
+	case p.latest != nil && p.latest != s && at > p.latest.began:
 		p.turns.confirm(at-p.latest.began, at)
+	case p.latest == s && turn != nil:
+		// Two peaks in a row aren't turns.
+		turn.support /= 2
 	}
-	s.missed, s.began = false, at
+	s.awaited, s.missed, s.began = false, false, at
 	s.peaks++
-	p.latest, p.turnMissed = s, false
+	p.latest, p.turnAwaited, p.turnMissed = s, false, false
 }
 
 // end records the end of a peak. One that goes on after a pause counts with its height alone.
@@ -176,21 +181,31 @@
 }
 
 // overdue reports whether a peak that was expected should have begun by now, once. The rhythm that expected it loses half of
-// its support.
+// its support. What was past when the rhythm became known was never expected.
 func (p *Peaks) overdue(s *poolPeaks, now time.Duration) bool {
 	period := p.periods.current(minSupport)
-	if period != nil && s.peaks > 0 && !s.missed && now > s.began+period.length+tolerance(period.length)+findTime {
-		s.missed = true
-		period.support /= 2
+	if period != nil && s.peaks > 0 && !s.missed && isOverdue(&s.awaited, &s.missed, s.began, period, now) {
 		return true
 	}
 	turn := p.turns.current(1)
-	if turn != nil && !p.turnMissed && p.isNext(s) && now > p.latest.began+turn.length+tolerance(turn.length)+findTime {
-		p.turnMissed = true
-		turn.support /= 2
-		return true
+	return turn != nil && !p.turnMissed && p.isNext(s) && isOverdue(&p.turnAwaited, &p.turnMissed, p.latest.began, turn, now)
+}
+
+// isOverdue updates whether a peak was awaited and missed an interval after another one, and reports whether both just came
+// true.
+func isOverdue(awaited, missed *bool, began time.Duration, r *rhythm, now time.Duration) bool {
+	due := began + r.length
+	if now <= due {
+		*awaited = true
+	}
+	if now <= due+tolerance(r.length)+findTime {
+		return false
+	}
+	*missed = true
+	if *awaited {
+		r.support /= 2
 	}
-	return false
+	return *awaited
 }
 
 // isNext reports whether the pool is next to peak if pools take turns: it is the one whose peak is longest ago, or the only
--- a/keel/forecast/peaks_test.go
+++ b/keel/forecast/peaks_test.go
@@ -47,6 +47,7 @@
 	step     = 50 * time.Millisecond
 	moveTime = 1650 * time.Millisecond
 	jobWork  = 1000
+	maxJobs  = 10
 	// clockStart is the time of the clock when a script begins.
 	clockStart = time.Hour
 )
@@ -93,55 +94,75 @@
 	}
 }
 
+// player plays a pattern with one seed.
+type player struct {
+	*pattern
+	random *rand.Rand
+	peaks  forecast.Peaks
+	rates  map[string]*forecast.Rate
+	// missing is the number of peaks that weren't expected, idle the time in which instances are held for none.
+	missing int
+	idle    float64
+}
+
+// restart forgets all that was learned.
+func (p *player) restart() {
+	p.peaks, p.rates = forecast.Peaks{}, make(map[string]*forecast.Rate)
+	for _, pool := range p.Pools {
+		p.rates[pool] = &forecast.Rate{}
+	}
+}
+
 // play feeds the pattern to a forecast, checks what it expects a move ahead, and returns the number of peaks that it should have
 // expected.
 func (p *pattern) play(t *testing.T, seed uint64) int {
-	random := rand.New(rand.NewPCG(seed, 7))
-	var peaks forecast.Peaks
-	rates := make(map[string]*forecast.Rate)
-	restart := func() {
-		peaks = forecast.Peaks{}
-		for _, pool := range p.Pools {
-			rates[pool] = &forecast.Rate{}
-		}
-	}
-	restart()
-	missing, idle := 0, 0.0
+	pl := &player{pattern: p, random: rand.New(rand.NewPCG(seed, 7))}
+	pl.restart()
 	for at := time.Duration(0); at < time.Duration(p.Seconds)*time.Second; at += step {
-		now, seconds := clockStart+at, at.Seconds()
 		if p.Takeover > 0 && at == time.Duration(p.Takeover)*time.Second {
-			restart()
+			pl.restart()
 		}
 		for _, pool := range p.Pools {
-			perSecond := p.Low
-			if p.isPeak(pool, seconds) {
-				perSecond = p.High
-			}
-			for range 10 {
-				if random.Float64() < perSecond*step.Seconds()/10 {
-					rates[pool].Add(now, now, jobWork)
-				}
-			}
-			level := rates[pool].Level(now)
-			peaks.Observe(pool, now, level)
-			next := peaks.Outlook(pool, now)
-			want := forecast.Want(forecast.Demand{Seen: level, Next: next, Now: now, MoveTime: moveTime})
-			assert.Assert(t, want.Expected >= want.Needed && want.Kept >= want.Needed && want.Most >= want.Needed)
-			if max(want.Expected, want.Invited) > want.Needed && !p.nearPeak(pool, seconds) {
-				idle += step.Seconds()
-			}
-			for _, begin := range p.begins(pool) {
-				if begin >= p.ExpectedFrom && at == time.Duration((begin-moveTime.Seconds())*float64(time.Second)).Round(step) {
-					if max(want.Expected, want.Invited) <= want.Needed || p.Sure && !next.Sure {
-						missing++
-						t.Logf("seed %d: peak of %s at %.1f s isn't expected: %+v", seed, pool, begin, next)
-					}
-				}
-			}
+			pl.step(t, pool, at)
+		}
+	}
+	assert.Assert(t, pl.idle <= p.MaxIdle, "seed %d: instances held for %.1f s for peaks that don't come", seed, pl.idle)
+	return pl.missing
+}
+
+// step adds the jobs of one step to a pool and checks its forecast.
+func (p *player) step(t *testing.T, pool string, at time.Duration) {
+	now := clockStart + at
+	p.addJobs(pool, at)
+	level := p.rates[pool].Level(now)
+	p.peaks.Observe(pool, now, level)
+	next := p.peaks.Outlook(pool, now)
+	want := forecast.Want(forecast.Demand{Seen: level, Next: next, Now: now, MoveTime: moveTime})
+	assert.Assert(t, want.Expected >= want.Needed && want.Invited >= want.Needed && want.Kept >= want.Needed && want.Most >= want.Needed)
+	prepared := max(want.Expected, want.Invited) > want.Needed
+	if prepared && !p.nearPeak(pool, at.Seconds()) {
+		p.idle += step.Seconds()
+	}
+	for _, begin := range p.begins(pool) {
+		ahead := time.Duration((begin - moveTime.Seconds()) * float64(time.Second)).Round(step)
+		if begin >= p.ExpectedFrom && at == ahead && (!prepared || p.Sure && !next.Sure) {
+			p.missing++
+			t.Logf("peak of %s at %.1f s isn't expected: %+v", pool, begin, next)
+		}
+	}
+}
+
+// addJobs draws the jobs of one step, up to maxJobs.
+func (p *player) addJobs(pool string, at time.Duration) {
+	perSecond := p.Low
+	if p.isPeak(pool, at.Seconds()) {
+		perSecond = p.High
+	}
+	for range maxJobs {
+		if p.random.Float64() < perSecond*step.Seconds()/maxJobs {
+			p.rates[pool].Add(clockStart+at, clockStart+at, jobWork)
 		}
 	}
-	assert.Assert(t, idle <= p.MaxIdle, "seed %d: instances held for %.1f s for peaks that don't come", seed, idle)
-	return missing
 }
 
 // nearPeak reports whether a peak of the pool begins within two moves, or has just begun.
--- a/keel/schedule/demand.go
+++ b/keel/schedule/demand.go
@@ -98,7 +98,9 @@
 	var all []*demand
 	for name, p := range s.pools {
 		configured, ok := s.Config.Pools[name]
-		if configured.Spare || len(p.jobs)+len(p.workers) == 0 && !(ok && s.peaks.HasSeen(name)) {
+		// A pool without workers may have a peak to come.
+		active := len(p.jobs)+len(p.workers) > 0 || ok && s.peaks.HasSeen(name)
+		if configured.Spare || !active {
 			continue
 		}
 		d := &demand{pool: p}
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -26,8 +26,10 @@
 	// homes of jobs.
 	DataCentres int `json:"data_centres"`
 	// OrdersPerSecond is the rate limit of the instance service, 0 for the testbed's default.
-	OrdersPerSecond float64  `json:"orders_per_second"`
-	Traffic         []stream `json:"traffic"`
+	OrdersPerSecond float64 `json:"orders_per_second"`
+	// Takeover is when another leader takes over, 0 for never.
+	Takeover duration `json:"takeover"`
+	Traffic  []stream `json:"traffic"`
 	// CountedPool is the pool whose jobs are counted; if it is empty, all jobs are counted.
 	CountedPool string `json:"counted"`
 	// MinOnTime is the minimum share of the counted jobs that must meet their objective.
@@ -149,7 +151,15 @@
 			widestOnTime++
 		}
 	}
+	takeover := time.Duration(l.Takeover)
 	for _, sub := range l.arrivals(rand.New(rand.NewPCG(3, 3))) {
+		if takeover > 0 && sub.at > takeover {
+			b.countCompleted(open, began, count, takeover)
+			submitted.Wait()
+			b.onLoop(b.s.End)
+			b.startEpoch(2, pools...)
+			takeover = 0
+		}
 		b.countCompleted(open, began, count, sub.at)
 		submitted.Add(1)
 		go func() {
