--- a/keel/schedule/arrivals.go
+++ b/keel/schedule/arrivals.go
@@ -7,8 +7,15 @@
 	"samphirekeel.example/keel/forecast"
 )
 
-// countArrival adds a new job's work to the arrivals of its pool.
-func (s *Scheduler) countArrival(j *job) {
+// sourceLedger is the source of jobs that a leader loads when it takes over.
+const sourceLedger = "ledger"
+
+// maxArrivalDelay is the time by which a job counts as accepted before it became known at most. While the store is slow, jobs
+// become known seconds later, and would be no part of the rate.
+const maxArrivalDelay = 100 * time.Millisecond
+
+// countArrival adds a new job's work to the arrivals of its pool. Loaded jobs of long ago don't count: they are a backlog.
+func (s *Scheduler) countArrival(j *job, loaded bool) {
 	if j.pool == nil || j.HasDueTimes() {
 		return
 	}
@@ -19,9 +26,14 @@
 			sum += float64(step.Count) * float64(step.Size.MilliCores) * j.estimates[i].Seconds()
 		}
 	}
-	if sum > 0 {
-		j.pool.arrivals.Add(s.Now(), j.arrived, sum)
+	if sum <= 0 {
+		return
+	}
+	now, arrived := s.Now(), j.arrived
+	if !loaded {
+		arrived = max(arrived, now-maxArrivalDelay)
 	}
+	j.pool.arrivals.Add(now, arrived, sum)
 }
 
 // want compares what the pool's jobs need with what is expected of its peaks. The second result leaves out jobs that can no
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -218,7 +218,7 @@
 	if record.Progress != nil {
 		s.restore(j, record.Progress)
 	}
-	s.countArrival(j)
+	s.countArrival(j, source == sourceLedger)
 	s.updatePending(j)
 	if s.pendingCancels[j.ID] {
 		delete(s.pendingCancels, j.ID)
--- a/keel/schedule/takeover.go
+++ b/keel/schedule/takeover.go
@@ -126,7 +126,7 @@
 			s.ledger.removeRows(rows)
 			record, rows = ledger.JobRecord{}, nil
 		}
-		s.addSubmission(submission, record, "ledger")
+		s.addSubmission(submission, record, sourceLedger)
 		if s.jobs[id] != nil {
 			s.jobs[id].rows = rows
 		}
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -304,7 +304,9 @@
 		}
 		durations = append(durations, times)
 	}
-	job.Accepted = time.Now().UnixMilli()
+	if job.Accepted == 0 {
+		job.Accepted = time.Now().UnixMilli()
+	}
 	b.checker.Submitted(job, durations, poisoned)
 	submissions := &ledger.SubmissionWriter{Store: b.store.Client("entry")}
 	stored, err := submissions.Submit(context.Background(), job)
