--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	go test $(if $(KNOWN_RED_TESTS),-skip='$(KNOWN_RED_TESTS)') $(TESTFLAGS) $(MODULES:%=./%/...)
 
 red:
-	go test $(if $(KNOWN_RED_TESTS),-run='$(KNOWN_RED_TESTS)') -v ./keel/schedule ./entry/daemon
+	go test $(if $(KNOWN_RED_TESTS),-run='$(KNOWN_RED_TESTS)') -v ./keel/schedule ./keel/forecast ./entry/daemon ./entry/site
 
 race:
 	go test -race $(TESTFLAGS) $(MODULES:%=./%/...)
--- a/keel/event/definition.go
+++ b/keel/event/definition.go
@@ -39,11 +39,12 @@
 		{"Jobs (800)", jobEvents},
 		{"Duties and platform (900)", dutyEvents},
 		{"Leader, tasks and workers (1000)", scheduleEvents},
-		{"Tasks that slow each other down (1350)", separationEvents},
 		{"Tenants (1100)", tenantEvents},
 		{"Caps and shares of tenants (1150)", shareEvents},
-		{"Lease of the leader (1250)", leaseEvents},
 		{"Workers that boot again (1200)", bootEvents},
+		{"Lease of the leader (1250)", leaseEvents},
+		{"Forecast of demand (1300)", forecastEvents},
+		{"Tasks that slow each other down (1350)", separationEvents},
 	}
 }
 
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -229,7 +229,7 @@
 		s.restore(j, record.Progress)
 	}
 	s.setShare(j)
-	s.countArrival(j)
+	s.countArrival(j, source == sourceLedger)
 	s.updatePending(j)
 	if s.pendingCancels[j.ID] {
 		delete(s.pendingCancels, j.ID)
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -30,8 +30,10 @@
 	// homes of jobs.
 	DataCentres int `json:"data_centres"`
 	// OrdersPerSecond is the rate limit of the instance service, 0 for the testbed's default.
-	OrdersPerSecond float64  `json:"orders_per_second"`
-	Traffic         []stream `json:"traffic"`
+	OrdersPerSecond float64 `json:"orders_per_second"`
+	// Takeover is when another leader takes over, 0 for never.
+	Takeover duration `json:"takeover"`
+	Traffic  []stream `json:"traffic"`
 	// Tenants holds the tenants by name, none for jobs without tenants; NewTenants replaces them at the time NewTenantsAt.
 	Tenants      map[string]loadTenant `json:"tenants"`
 	NewTenants   map[string]loadTenant `json:"new_tenants"`
@@ -195,12 +197,20 @@
 		}
 	}
 	changed := len(l.NewTenants) == 0
+	takeover := time.Duration(l.Takeover)
 	for _, sub := range l.arrivals(rand.New(rand.NewPCG(3, 3))) {
 		if !changed && sub.at >= time.Duration(l.NewTenantsAt) {
 			changed = true
 			config := b.tenantConfig(2, l.tenants(l.NewTenants), pools...)
 			b.onLoop(func() { b.s.SetConfig(config) })
 		}
+		if takeover > 0 && sub.at > takeover {
+			b.countCompleted(open, began, count, takeover)
+			submitted.Wait()
+			b.onLoop(b.s.End)
+			b.startEpoch(2, pools...)
+			takeover = 0
+		}
 		b.countCompleted(open, began, count, sub.at)
 		submitted.Add(1)
 		go func() {
--- a/keel/schedule/pool.go
+++ b/keel/schedule/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphirekeel.example/keel/forecast"
 	"samphirekeel.example/keel/tenant"
 )
 
@@ -12,7 +13,7 @@
 	workers  map[*workerState]bool
 	jobs     map[*job]bool
 	backlog  backlog
-	arrivals arrivals
+	arrivals forecast.Rate
 	// room is the capacity of the workers, as of the last rebalancing; shares holds what tenants take of it.
 	room   tenant.Cap
 	shares map[*tenantState]*poolShare
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -7,6 +7,7 @@
 	"samphirekeel.example/keel/control"
 	"samphirekeel.example/keel/deployment"
 	"samphirekeel.example/keel/event"
+	"samphirekeel.example/keel/forecast"
 	"samphirekeel.example/keel/provider"
 	"samphirekeel.example/keel/queue"
 	"samphirekeel.example/keel/table"
@@ -106,10 +107,12 @@
 	rosterChanges int64
 	storeClock    storeClock
 	fleet         fleetState
-	durations     durationModels
-	waves         waveState
-	separation    separation
-	outages       outageTracker
+	// peaks is learned anew in each epoch.
+	peaks      forecast.Peaks
+	durations  durationModels
+	waves      waveState
+	separation separation
+	outages    outageTracker
 	// unheard holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch, or have not yet
 	// listed all ends.
 	unheard map[string]*workerState
