--- a/entry/main.go
+++ b/entry/main.go
@@ -30,6 +30,7 @@
 	LogLevel     string `long:"log-level" value-name:"LEVEL" default:"info" description:"lowest level that is logged on the platform"`
 	Metrics      int    `long:"metrics-port" value-name:"PORT" description:"port on which an entry on the platform serves /metrics; 0 for none"`
 	NoSeparation bool   `long:"no-separation" description:"don't keep tasks apart that slow each other down on one worker"`
+	Forecast     bool   `long:"forecast" description:"learn peaks of demand that come back, and move instances before them"`
 	Check        bool   `long:"check" description:"check the settings file and that its addresses are free, and exit"`
 }
 
@@ -104,7 +105,7 @@
 	log.Logger.SetLevel(level)
 	log.Base = event.Fields{"entry": settings.Name}
 	process := &site.Entry{
-		Settings: settings, Log: &log.Log, Version: version, Reload: load, MetricsPort: opts.Metrics, NoSeparation: opts.NoSeparation,
+		Settings: settings, Log: &log.Log, Version: version, Reload: load, MetricsPort: opts.Metrics, NoSeparation: opts.NoSeparation, ForecastPeaks: opts.Forecast,
 		Store: platform.NewStore(settings.Store.Address), Workers: platform.NewWorkerClient(), Codec: site.PlatformCodec(),
 	}
 	if settings.InstanceService.Address != "" {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -78,6 +78,8 @@
 	Reload func() (deployment.Settings, error)
 	// MetricsPort is the port of the entry's own address on which /metrics is served, 0 for none.
 	MetricsPort int
+	// ForecastPeaks reports that instances are moved before peaks of demand that come back.
+	ForecastPeaks bool
 	// NoSeparation reports that tasks aren't kept apart that slow each other down on one worker.
 	NoSeparation bool
 	// Store, Workers, Provider (the instance service) and Policy (the policy service) are the platform's clients;
@@ -272,7 +274,7 @@
 	s.scheduler = &schedule.Scheduler{
 		Loop: s.loop, Log: s.Log, Store: s.Store, Workers: s.relayClient.Workers(), Provider: s.Provider, Policy: s.Policy,
 		Bounds: s.Settings.Bounds, Limits: s.Settings.InstanceService, RowBytes: s.Settings.Store.RowBytes, Metrics: s.metrics, Holder: s.Settings.Name, Epoch: epoch,
-		SeparateImages: !s.NoSeparation, Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
+		SeparateImages: !s.NoSeparation, ForecastPeaks: s.ForecastPeaks, Config: s.config.Load(), Now: s.Now, Wall: s.Wall, LeaseValid: s.lease.Valid,
 		InstanceOrdersFrom: make(map[string]time.Duration),
 		Rows:               s.Codec.RowCodec,
 	}
--- a/keel/schedule/arrivals.go
+++ b/keel/schedule/arrivals.go
@@ -31,7 +31,7 @@
 		return
 	}
 	now, arrived := s.Now(), j.arrived
-	if !loaded {
+	if !loaded && s.ForecastPeaks {
 		arrived = max(arrived, now-maxArrivalDelay)
 	}
 	j.pool.arrivals.Add(now, arrived, sum)
@@ -42,11 +42,7 @@
 func (s *Scheduler) want(p *pool, now time.Duration) (total, onTime forecast.Capacity) {
 	p.update(now, s.fleet.mayRun)
 	level := p.arrivals.Level(now)
-	change := s.peaks.Observe(p.name, now, level)
-	next := s.peaks.Outlook(p.name, now)
-	if change != forecast.NoChange {
-		s.reportPeak(p, change, level, next, now)
-	}
+	next := s.outlook(p, level, now)
 	want := func(w openWork) forecast.Capacity {
 		return forecast.Want(forecast.Demand{
 			Standing: w.longRunning, Runnable: w.runnable, Backlog: w.backlog, Seen: level, Next: next, Now: now, MoveTime: s.joinTime(),
@@ -55,6 +51,19 @@
 	return want(p.backlog.total), want(p.backlog.onTime)
 }
 
+// outlook returns what is expected of the pool's next peak, nothing if peaks aren't forecast.
+func (s *Scheduler) outlook(p *pool, level forecast.Level, now time.Duration) forecast.Outlook {
+	if !s.ForecastPeaks {
+		return forecast.Outlook{}
+	}
+	change := s.peaks.Observe(p.name, now, level)
+	next := s.peaks.Outlook(p.name, now)
+	if change != forecast.NoChange {
+		s.reportPeak(p, change, level, next, now)
+	}
+	return next
+}
+
 // reportPeak logs and counts a change of a pool's peaks.
 func (s *Scheduler) reportPeak(p *pool, change forecast.Change, level forecast.Level, next forecast.Outlook, now time.Duration) {
 	s.Metrics.addPeak(change)
--- a/keel/schedule/arrivals_test.go
+++ b/keel/schedule/arrivals_test.go
@@ -18,6 +18,7 @@
 		for i := range 4 {
 			b.fleet.Add(fmt.Sprintf("s%d", i), "spare", "a", "ra-0", work.Size{MilliCores: 16000, MemoryMB: 32768})
 		}
+		b.forecastPeaks = true
 		b.startEpoch(1, "p", "q")
 		time.Sleep(2 * time.Second)
 		for i := range 30 {
--- a/keel/schedule/load_test.go
+++ b/keel/schedule/load_test.go
@@ -31,6 +31,8 @@
 	DataCentres int `json:"data_centres"`
 	// OrdersPerSecond is the rate limit of the instance service, 0 for the testbed's default.
 	OrdersPerSecond float64 `json:"orders_per_second"`
+	// Forecast reports whether the scheduler learns peaks that come back.
+	Forecast bool `json:"forecast"`
 	// Takeover is when another leader takes over, 0 for never.
 	Takeover duration `json:"takeover"`
 	Traffic  []stream `json:"traffic"`
@@ -178,6 +180,7 @@
 	if len(l.Tenants) > 0 {
 		config = b.tenantConfig(1, l.tenants(l.Tenants), pools...)
 	}
+	b.forecastPeaks = l.Forecast
 	b.startEpochWith(1, config)
 	if l.OrdersPerSecond > 0 {
 		b.onLoop(func() { b.s.Limits.OrdersPerSecond = l.OrdersPerSecond })
--- a/keel/schedule/scaling.go
+++ b/keel/schedule/scaling.go
@@ -27,6 +27,9 @@
 	for _, d := range demands {
 		s.scaleUpPool(demands, d, d.missing(s.instanceCapacity()), d.pool.missing.suits, false, now)
 	}
+	if !s.ForecastPeaks {
+		return
+	}
 	for _, d := range demands {
 		s.prepare(demands, d, now)
 	}
@@ -54,6 +57,9 @@
 
 // inviting returns another pool that may soon need the instance of an idle worker, nil if there is none.
 func (s *Scheduler) inviting(demands []*demand, from *demand, w *workerState, now time.Duration) *demand {
+	if !s.ForecastPeaks {
+		return nil
+	}
 	for _, d := range demands {
 		if d != from && d.capacity+d.incoming < d.wanted.Invited && s.movable(s.fleet.instances[w.Instance], d.pool.name, scaleDownRateShare, now) {
 			return d
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -38,6 +38,9 @@
 	// SeparateImages reports that tasks whose images slow each other down are kept apart where there is room. It has no
 	// effect where Bounds.MaxSlowdownTime is 0.
 	SeparateImages bool
+	// ForecastPeaks reports that peaks of demand which come back are learned, that instances are moved before them and given back
+	// sooner after them, and that jobs which become known late count as arriving then.
+	ForecastPeaks bool
 	// Now is a clock that keeps running while the machine is suspended; Wall is the time since the Unix epoch.
 	Now  func() time.Duration
 	Wall func() time.Duration
