--- /dev/null
+++ b/review/bed/bed.go
@@ -0,0 +1,388 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+)
+
+// bed holds one deployment: the stand-ins, the entries and what was seen.
+type bed struct {
+	dir     string
+	program string
+	net     int
+	began   time.Time
+	store   *store
+	cloud   *cloud
+	// policy is nil if no queue has a placement policy.
+	policy  *policy
+	spare   map[string]bool
+	zones   []string
+	entries []*entry
+	// useCloud is cleared for a deployment without an instance service.
+	useCloud bool
+	stopTime time.Duration
+	// BeforeWorker is called before a call to a worker is handled, and returns a status to answer with, 0 to go on and -1 to break
+	// the connection.
+	BeforeWorker func(w *worker, path string) int
+
+	logMu sync.Mutex
+	log   *bufio.Writer
+
+	mu       sync.Mutex
+	workers  map[string]*worker
+	starts   []startNote
+	history  map[string][]*taskNote
+	broken   []string
+	upkeeps  map[int64][]string
+	services []map[string]any
+	routes   []map[string]any
+	version  int
+}
+
+type startNote struct {
+	job string
+	at  time.Time
+}
+
+// taskNote is a run of a task as its worker saw it.
+type taskNote struct {
+	worker     string
+	run, token int64
+	began      time.Time
+	ended      time.Time
+	how        string
+	seen       time.Time
+}
+
+// entry is one process of the system.
+type entry struct {
+	b        *bed
+	name, ip string
+	zone     string
+	settings string
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{}
+	output   *os.File
+}
+
+func (b *bed) ip(n int) string { return fmt.Sprintf("127.%d.%d.%d", 64+b.net/200, 1+b.net%200, n) }
+
+// maxRunTime is the longest time that a scenario may take.
+const maxRunTime = 115 * time.Second
+
+func newBed(program, out string) *bed {
+	dir, err := os.MkdirTemp("", "bed")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	file, err := os.Create(out)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	b := &bed{
+		dir: dir, program: program, began: time.Now(), spare: make(map[string]bool), zones: []string{"za", "zb", "zc"}, log: bufio.NewWriter(file),
+		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), stopTime: 200 * time.Millisecond, useCloud: true,
+	}
+	for try := 0; ; try++ {
+		b.net = rand.Intn(10000)
+		l, err := net.Listen("tcp", b.ip(1)+":8620")
+		if err == nil {
+			_ = l.Close()
+			break
+		}
+		if try > 20 {
+			b.fatal("no free address: %v", err)
+		}
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			b.fatal("ended from outside")
+		case <-time.After(maxRunTime):
+			b.fatal("not done after %v", maxRunTime)
+		}
+	}()
+	b.store = newStore()
+	b.cloud = &cloud{b: b, machines: make(map[string]*machine), waves: make(map[int64]map[string]bool)}
+	b.serve(b.ip(1)+":8620", b.store)
+	b.serve(b.ip(2)+":8620", b.cloud)
+	return b
+}
+
+func (b *bed) serve(address string, handler http.Handler) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		b.fatal("listen: %v", err)
+	}
+	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
+}
+
+// record writes a line with the time since the start.
+func (b *bed) record(format string, args ...any) {
+	b.logMu.Lock()
+	defer b.logMu.Unlock()
+	_, _ = fmt.Fprintf(b.log, "%8.3f "+format+"\n", append([]any{time.Since(b.began).Seconds()}, args...)...)
+	_ = b.log.Flush()
+}
+
+// breaks records that a rule was broken.
+func (b *bed) breaks(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	b.record("BROKEN: %s", text)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broken = append(b.broken, text)
+}
+
+func (b *bed) fatal(format string, args ...any) {
+	b.record("CAN'T RUN: "+format, args...)
+	b.stopAll()
+	fmt.Fprintf(os.Stderr, "can't run: "+format+"\n", args...)
+	os.Exit(2)
+}
+
+// finish ends all processes and exits with 1 if a rule was broken.
+func (b *bed) finish() {
+	b.stopAll()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(b.dir)
+	} else {
+		fmt.Println(b.dir)
+	}
+	if len(b.broken) > 0 {
+		fmt.Println("broken:", b.broken[0])
+		os.Exit(1)
+	}
+	fmt.Println("held")
+	os.Exit(0)
+}
+
+func (b *bed) stopAll() {
+	for _, e := range b.entries {
+		e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+		e.wait(5 * time.Second)
+	}
+}
+
+// addPool adds a pool with instances, spread over the data centres, each with 16 cores and 32 GB.
+func (b *bed) addPool(name string, instances int, spare bool) {
+	b.services = append(b.services, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, names["enforced"]: false, "spare": spare})
+	b.spare[name] = spare
+	b.cloud.mu.Lock()
+	defer b.cloud.mu.Unlock()
+	for range instances {
+		n := len(b.cloud.machines)
+		m := &machine{id: fmt.Sprintf("m-%03d", n), pool: name, zone: b.zones[n%len(b.zones)], rack: fmt.Sprintf("r%d-%d", n%len(b.zones), n/12), cpu: 16000, mem: 32768, maintained: make(map[int64]bool)}
+		b.cloud.machines[m.id] = m
+		b.cloud.boot(m)
+	}
+}
+
+// addQueue adds a queue whose tasks run in the pool.
+func (b *bed) addQueue(name, host, prefix, pool string, attempts int) {
+	b.routes = append(b.routes, map[string]any{
+		"name": name, "host": host, names["prefix"]: prefix, "kind": "unsafe", "timeoutMs": 3000, names["target"]: 600, "priority": 0, "service": pool,
+		"maxAttempts": attempts, "stretch": 1.6,
+	})
+}
+
+// putConfig writes the configuration.
+func (b *bed) putConfig() {
+	b.version += 3
+	b.store.put("op", "config", map[string]any{
+		"version": b.version, "routes": b.routes, "services": b.services,
+		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	b.record("configuration %d written", b.version)
+}
+
+// addEntries starts n entries.
+func (b *bed) addEntries(n int) {
+	for i := range n {
+		e := &entry{b: b, name: fmt.Sprintf("edge-%s-%d", b.zones[i%len(b.zones)], 1+i/len(b.zones)), ip: b.ip(10 + i), zone: b.zones[i%len(b.zones)]}
+		b.entries = append(b.entries, e)
+		e.settings = filepath.Join(b.dir, e.name+".yaml")
+		var text bytes.Buffer
+		data := map[string]any{"Name": e.name, "IP": e.ip, "Zone": e.zone, "Zones": b.zones, "Store": b.ip(1) + ":8620", "Cloud": b.ip(2) + ":8620"}
+		if !b.useCloud {
+			data["Cloud"] = ""
+		}
+		if b.policy != nil {
+			data["Policy"] = b.ip(3) + ":8620"
+		}
+		err := template.Must(template.New("").Parse(settingsTemplate)).Execute(&text, data)
+		if err == nil {
+			err = os.WriteFile(e.settings, text.Bytes(), 0o600)
+		}
+		if err != nil {
+			b.fatal("settings: %v", err)
+		}
+		e.start()
+	}
+}
+
+func (e *entry) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	output, err := os.OpenFile(filepath.Join(e.b.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		e.b.fatal("log: %v", err)
+	}
+	cmd := exec.Command(e.b.program, "--metrics-port", "7071")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "SAMPHIREKEEL_SETTINGS=" + e.settings}
+	cmd.Stdout, cmd.Stderr = output, output
+	err = cmd.Start()
+	if err != nil {
+		e.b.fatal("start %s: %v", e.b.program, err)
+	}
+	done := make(chan struct{})
+	e.cmd, e.done = cmd, done
+	e.b.record("%s started, process %d", e.name, cmd.Process.Pid)
+	go func() {
+		err := cmd.Wait()
+		e.b.record("%s ended: %v", e.name, err)
+		_ = output.Close()
+		close(done)
+	}()
+}
+
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	cmd, done := e.cmd, e.done
+	e.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	select {
+	case <-done:
+	default:
+		_ = cmd.Process.Signal(s)
+	}
+}
+
+// alive reports whether the process runs.
+func (e *entry) alive() bool {
+	select {
+	case <-e.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (e *entry) wait(limit time.Duration) bool {
+	if e.done == nil {
+		return true
+	}
+	select {
+	case <-e.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// restart kills the process and starts it again.
+func (e *entry) restart(pause time.Duration) {
+	e.b.record("%s is killed", e.name)
+	e.signal(syscall.SIGKILL)
+	e.wait(5 * time.Second)
+	time.Sleep(pause)
+	e.start()
+}
+
+func (e *entry) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + e.ip + ":8622/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all entries are ready.
+func (b *bed) awaitReady() {
+	for range 200 {
+		n := 0
+		for _, e := range b.entries {
+			if e.isReady() {
+				n++
+			}
+		}
+		if n == len(b.entries) {
+			b.record("all entries are ready")
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	b.fatal("entries aren't ready after 20 s")
+}
+
+// leader returns the entry that holds the lease by the rows of the store, nil if there is none.
+func (b *bed) leader() *entry {
+	for _, part := range []string{"lease0", "lease1", "lease2"} {
+		var r struct {
+			Holder   string `json:"holder"`
+			Released bool   `json:"released"`
+		}
+		v := b.store.value("control", part, "leader")
+		if v == nil || json.Unmarshal(v, &r) != nil {
+			continue
+		}
+		for _, e := range b.entries {
+			if e.name == r.Holder && !r.Released {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+func (b *bed) addWorker(w *worker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.workers[w.id] = w
+}
+
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableKeepAlives: false}}
+
+// call sends a request of a caller to an entry; a status of 0 means that there was no response.
+func (e *entry) call(method, host, path string, body []byte, limit time.Duration) (int, []byte) {
+	req, _ := http.NewRequest(method, "http://"+e.ip+":8624"+path, bytes.NewReader(body))
+	req.Host = host
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Time-Budget-Ms", fmt.Sprint(limit.Milliseconds()))
+	client := *callers
+	client.Timeout = limit
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, text
+}
