--- a/review/bed/advice.go
+++ b/review/bed/advice.go
@@ -28,8 +28,8 @@
 	const host, prefix = "q.example", "/q/"
 	b.policy = newPolicy(b, decideTime, decideEach, ticketTime)
 	b.serve(b.ip(3)+":8620", b.policy)
-	b.useCloud = false
 	b.addPool("pool-a", adviceWorkers, false)
+	b.addPool("spare", 2, true)
 	b.addQueue("queue-a", host, prefix, "pool-a", 3)
 	b.routes[0]["advice"] = map[string]int64{"decideMs": decideTime.Milliseconds(), "eachMs": decideEach.Milliseconds(), "validMs": ticketTime.Milliseconds()}
 	b.putConfig()
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -42,11 +42,17 @@
 	logMu sync.Mutex
 	log   *bufio.Writer
 
-	mu       sync.Mutex
-	workers  map[string]*worker
-	starts   []startNote
-	history  map[string][]*taskNote
-	broken   []string
+	// workersMu guards all workers and gangs.
+	workersMu sync.Mutex
+	gangs     map[string]*gang
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	starts  []startNote
+	history map[string][]*taskNote
+	broken  []string
+	// counts holds the number of tasks by job and step.
+	counts   map[string]int
 	upkeeps  map[int64][]string
 	services []map[string]any
 	routes   []map[string]any
@@ -66,6 +72,8 @@
 	ended      time.Time
 	how        string
 	seen       time.Time
+	// copies reports that the task may run twice at a time.
+	copies bool
 }
 
 // entry is one process of the system.
@@ -98,7 +106,7 @@
 	}
 	b := &bed{
 		dir: dir, program: program, began: time.Now(), spare: make(map[string]bool), zones: []string{"za", "zb", "zc"}, log: bufio.NewWriter(file),
-		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), stopTime: 200 * time.Millisecond, useCloud: true,
+		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), gangs: make(map[string]*gang), counts: make(map[string]int), stopTime: 200 * time.Millisecond, useCloud: true,
 	}
 	for try := 0; ; try++ {
 		b.net = rand.Intn(10000)
@@ -184,7 +192,12 @@
 	}
 }
 
-// addPool adds a pool with instances, spread over the data centres, each with 16 cores and 32 GB.
+func rackName(n int) string { return fmt.Sprintf("r%d-%d", n, n) }
+
+// rackSize is the number of instances in a rack.
+const rackSize = 4
+
+// addPool adds a pool with instances of 16 cores and 32 GB, a rack in each data centre by turns.
 func (b *bed) addPool(name string, instances int, spare bool) {
 	b.services = append(b.services, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, names["enforced"]: false, "spare": spare})
 	b.spare[name] = spare
@@ -192,7 +205,7 @@
 	defer b.cloud.mu.Unlock()
 	for range instances {
 		n := len(b.cloud.machines)
-		m := &machine{id: fmt.Sprintf("m-%03d", n), pool: name, zone: b.zones[n%len(b.zones)], rack: fmt.Sprintf("r%d-%d", n%len(b.zones), n/12), cpu: 16000, mem: 32768, maintained: make(map[int64]bool)}
+		m := &machine{id: fmt.Sprintf("m-%03d", n), pool: name, zone: b.zones[n/rackSize%len(b.zones)], rack: rackName(n / rackSize), cpu: 16000, mem: 32768, maintained: make(map[int64]bool)}
 		b.cloud.machines[m.id] = m
 		b.cloud.boot(m)
 	}
--- a/review/bed/check.go
+++ b/review/bed/check.go
@@ -1,6 +1,11 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // noteStart is called by a worker, which holds its lock, for each run that begins.
 func (b *bed) noteStart(w *worker, r *taskRun, token int64) {
@@ -13,10 +18,12 @@
 	job := jobOf(r.task)
 	b.starts = append(b.starts, startNote{job: job, at: time.Now()})
 	others := b.history[r.task]
-	b.history[r.task] = append(others, &taskNote{worker: w.id, run: r.run, token: token, began: r.began})
+	b.history[r.task] = append(others, &taskNote{worker: w.id, run: r.run, token: token, began: r.began, copies: r.spec.Copies})
 	b.mu.Unlock()
+	b.checkStart(w, r)
 	for _, o := range others {
 		switch {
+		case r.spec.Copies:
 		case o.how == "":
 			b.breaks("TWICE: %s runs on %s (run %d) and starts on %s (run %d)", r.task, o.worker, o.run, w.id, r.run)
 		case o.how == "done" && !o.seen.IsZero():
@@ -58,7 +65,7 @@
 	if n != nil {
 		n.seen = time.Now()
 		for _, o := range b.history[task] {
-			if n.how == "done" && o != n && o.began.After(n.ended) {
+			if n.how == "done" && !n.copies && o != n && o.began.After(n.ended) {
 				later = o
 			}
 		}
@@ -85,3 +92,34 @@
 	}
 	return all
 }
+
+// checkStart checks the order of steps, the time of an occurrence and the label.
+func (b *bed) checkStart(w *worker, r *taskRun) {
+	step := stepOf(r.task)
+	if r.spec.Label != "" && r.spec.Label != w.rack && r.spec.Label != "a" {
+		b.breaks("ROUTE: %s starts on %s without the label %s", r.task, w.id, r.spec.Label)
+	}
+	parts := strings.Split(r.task, ".")
+	k, _ := strconv.ParseInt(parts[1], 10, 64)
+	if r.spec.FirstMs != 0 && time.Now().UnixMilli() < r.spec.FirstMs+k*r.spec.IntervalMs-250 {
+		b.breaks("ORDER: %s starts before its time", r.task)
+	}
+	if step == 0 || r.spec.Count == 0 {
+		return
+	}
+	b.mu.Lock()
+	done := make(map[string]bool)
+	prefix := fmt.Sprintf("%s.%s.%d.", parts[0], parts[1], step-1)
+	for task, notes := range b.history {
+		for _, n := range notes {
+			if strings.HasPrefix(task, prefix) && strings.HasPrefix(n.how, "done") {
+				done[task] = true
+			}
+		}
+	}
+	before := b.counts[fmt.Sprintf("%s.%d", parts[0], step-1)]
+	b.mu.Unlock()
+	if len(done) < before {
+		b.breaks("ORDER: %s starts, but only %d of %d tasks of the step before have ended done", r.task, len(done), before)
+	}
+}
--- a/review/bed/cloud.go
+++ b/review/bed/cloud.go
@@ -48,7 +48,7 @@
 		return
 	}
 	m.worker = &worker{
-		b: c.b, id: fmt.Sprintf("i-%04x", c.boots), instance: m.id, pool: m.pool, zone: m.zone, rack: m.rack, address: c.b.ip(200) + ":0",
+		b: c.b, mu: &c.b.workersMu, id: fmt.Sprintf("i-%04x", c.boots), instance: m.id, pool: m.pool, zone: m.zone, rack: m.rack, address: c.b.ip(200) + ":0",
 		cpu: m.cpu, mem: m.mem, began: time.Now(), runs: make(map[string]*taskRun), barred: make(map[string]int64), changed: make(chan struct{}), state: "ready",
 	}
 	m.worker.start()
@@ -60,7 +60,7 @@
 	w := m.worker
 	m.state, m.worker = state, nil
 	if w != nil {
-		w.end("gone")
+		w.end("gone", 0)
 		c.b.store.drop("servers", w.id)
 	}
 	time.AfterFunc(d, func() {
@@ -72,7 +72,10 @@
 }
 
 // crash ends the worker of an instance without notice; another one boots after the time.
-func (c *cloud) crash(id string, d time.Duration) {
+func (c *cloud) crash(id string, d time.Duration) { c.crashSilently(id, d, 0) }
+
+// crashSilently ends the worker of an instance, which is silent for a time, while its connections stay open.
+func (c *cloud) crashSilently(id string, d, dark time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.machines[id]
@@ -81,7 +84,7 @@
 	}
 	w := m.worker
 	m.state, m.worker = "down", nil
-	w.end("crashed")
+	w.end("crashed", dark)
 	c.b.record("crash of worker %s on %s", w.id, id)
 	time.AfterFunc(4500*time.Millisecond, func() { c.b.store.drop("servers", w.id) })
 	time.AfterFunc(d, func() {
@@ -91,6 +94,21 @@
 	})
 }
 
+// lose ends the worker of an instance without notice; the instance is down from then on.
+func (c *cloud) lose(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[id]
+	w := m.worker
+	if w == nil {
+		return
+	}
+	m.state, m.worker = "down", nil
+	w.end("crashed", 0)
+	c.b.record("worker %s on %s is lost for good", w.id, id)
+	time.AfterFunc(4500*time.Millisecond, func() { c.b.store.drop("servers", w.id) })
+}
+
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(callTime)
 	if c.Before != nil {
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -10,6 +10,8 @@
 var scenarios = map[string]func(b *bed, trouble bool){
 	"pending": pending,
 	"advice":  advice,
+	"long":    long,
+	"lasting": lasting,
 	"chaos":   chaos,
 }
 
--- a/review/bed/pending.go
+++ b/review/bed/pending.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -20,40 +21,57 @@
 	return encoded
 }
 
-// pending hands in more jobs than a pool holds, while its workers reject starts as unhealthy, and compares the number of pending jobs
-// that each entry gives with those of which no task has begun.
+const (
+	// darkTime is how long the rack is dark, pendingJobs the number of jobs that are handed in meanwhile.
+	darkTime    = 7 * time.Second
+	pendingJobs = 40
+	// pendingAge is the age from which a job that has not begun has to be given as pending: the bound of visibility and 2 s.
+	pendingAge = 5 * time.Second
+)
+
+// pending hands in jobs in a data centre whose rack has just gone dark, and compares the number of pending jobs that each entry gives
+// with those that were accepted pendingAge before and of which no task has begun.
 func pending(b *bed, trouble bool) {
-	const host, prefix, jobs = "q.example", "/q/", 60
-	b.addPool("pool-a", 6, false)
-	b.addPool("spare", 2, true)
+	const host, prefix = "q.example", "/q/"
+	b.addPool("pool-a", 3*rackSize, false)
+	b.addPool("spare", 0, true)
 	b.addQueue("queue-a", host, prefix, "pool-a", 3)
 	b.putConfig()
 	b.addEntries(3)
 	b.awaitReady()
-	time.Sleep(3 * time.Second)
-	begin := time.Now()
+	b.fillRacks(host, prefix, 15500, 500, 15500)
+	time.Sleep(5 * time.Second)
+	// The second entry is in the data centre of the second rack.
+	near := b.entries[1]
 	if trouble {
-		b.BeforeWorker = func(_ *worker, path string) int {
-			if path == names["start"] && time.Since(begin) < 20*time.Second {
-				return 503
-			}
-			return 0
+		b.record("the rack in %s goes dark for %v", near.zone, darkTime)
+		for n := rackSize; n < 2*rackSize; n++ {
+			b.cloud.crashSilently(fmt.Sprintf("m-%03d", n), darkTime, darkTime)
 		}
-		b.record("all workers reject starts with 503")
 	}
 	accepted := make(map[string]time.Time)
-	for n := range jobs {
-		id := fmt.Sprintf("%016x", 0xa0000000+n)
-		// Each job takes a whole worker for long, so that most of them wait without the trouble too.
-		status, _ := b.entries[n%3].call("POST", host, prefix+id, body(1, spec{Ms: 30000, CPU: 15000, Mem: 1000}, nil), 3*time.Second)
-		b.record("POST %s at %s: %d", id, b.entries[n%3].name, status)
-		if status == 200 {
-			accepted[id] = time.Now()
-		}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for n := range pendingJobs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			id := fmt.Sprintf("%016x", 0xa0000000+n)
+			status, _ := near.call("POST", host, prefix+id, body(1, spec{Ms: 2000, CPU: 1000, Mem: 500}, nil), 3*time.Second)
+			b.record("POST %s at %s: %d", id, near.name, status)
+			mu.Lock()
+			defer mu.Unlock()
+			if status == 200 {
+				accepted[id] = time.Now()
+			}
+		}()
 	}
-	for range 7 {
-		time.Sleep(time.Second)
+	wg.Wait()
+	end := time.Now().Add(9 * time.Second)
+	for time.Now().Before(end) {
+		time.Sleep(300 * time.Millisecond)
 		for _, e := range b.entries {
+			asked := time.Now()
 			status, text := e.call("GET", host, prefix, nil, 3*time.Second)
 			var answer struct{ Pending int }
 			if status != 200 || json.Unmarshal(text, &answer) != nil {
@@ -62,14 +80,25 @@
 			}
 			started, due := b.started(), 0
 			for id, at := range accepted {
-				if !started[id] && time.Since(at) > 5*time.Second {
+				if !started[id] && asked.Sub(at) > pendingAge {
 					due++
 				}
 			}
-			b.record("GET pending at %s: %d; accepted over 5 s ago and not begun: %d", e.name, answer.Pending, due)
+			b.record("GET pending at %s: %d; accepted over %v before and not begun: %d", e.name, answer.Pending, pendingAge, due)
 			if 2*answer.Pending < due {
-				b.breaks("MIXED: %s gives %d jobs as pending, but %d accepted over 5 s ago have not begun", e.name, answer.Pending, due)
+				b.breaks("MIXED: %s gives %d jobs as pending, but %d accepted over %v before have not begun", e.name, answer.Pending, due, pendingAge)
 			}
 		}
 	}
 }
+
+// fillRacks hands in a lasting job for each rack, with a task of the given milli-cores on each of its workers. No worker is idle then,
+// so that all instances stay in the pool.
+func (b *bed) fillRacks(host, prefix string, milliCores ...int64) {
+	for n, cpu := range milliCores {
+		id := fmt.Sprintf("%016x", 0x1a570+n)
+		extra := map[string]any{names["spread"]: 1, "requirements": rackName(n)}
+		status, _ := b.entries[n].call("POST", host, prefix+id, body(rackSize, spec{Lasts: true, CPU: cpu, Mem: 200}, extra), 3*time.Second)
+		b.record("POST %s, which lasts, for rack %s: %d", id, rackName(n), status)
+	}
+}
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand"
 	"net"
 	"net/http"
@@ -28,7 +29,8 @@
 	server   *http.Server
 	began    time.Time
 
-	mu       sync.Mutex
+	// mu is shared by all workers, since the members of a gang end together.
+	mu       *sync.Mutex
 	up       bool
 	token    int64
 	leaseEnd int64
@@ -43,6 +45,8 @@
 	// lapsedAt is when the lease last lapsed.
 	lapsedAt time.Time
 	lapsed   bool
+	// dark is set while the worker is silent: its connections stay open and nothing is answered.
+	dark bool
 }
 
 // taskRun is a run of a task on a worker.
@@ -53,7 +57,7 @@
 	began   time.Time
 	stopAt  time.Time
 	saved   string
-	worker  string
+	on      *worker
 	endedAt time.Time
 	how     string
 }
@@ -65,6 +69,31 @@
 	CPU   int64 `json:"cpu"`
 	Mem   int64 `json:"mem"`
 	Fails bool  `json:"fails"`
+	// Count is the number of the step's tasks; Gang reports that they run together, and Copies that a task may run twice at a time.
+	Count  int  `json:"count"`
+	Gang   bool `json:"gang"`
+	Copies bool `json:"copies"`
+	// Label is the label that the worker must have.
+	Label string `json:"label"`
+	// FirstMs and IntervalMs are the times of the job's occurrences.
+	FirstMs    int64 `json:"first"`
+	IntervalMs int64 `json:"interval"`
+	// Steps holds the specs of the steps where they differ.
+	Steps []spec `json:"steps"`
+}
+
+// gang is one run of a gang.
+type gang struct {
+	members map[string]*taskRun
+	since   time.Time
+	began   time.Time
+}
+
+const gangTimeout = 3 * time.Second
+
+// gangOf returns the name of the run of a gang to which the run of a task belongs.
+func gangOf(r *taskRun) string {
+	return fmt.Sprintf("%s %d", r.task[:strings.LastIndex(r.task, ".")], r.run)
 }
 
 const maxLeaseMs = 6000
@@ -111,18 +140,22 @@
 	}
 }
 
-// end ends the worker with all of its runs.
-func (w *worker) end(how string) {
+// end ends the worker with all of its runs. A dark one closes no connection for the time.
+func (w *worker) end(how string, dark time.Duration) {
 	w.mu.Lock()
 	if !w.up {
 		w.mu.Unlock()
 		return
 	}
-	w.up = false
+	w.up, w.dark = false, dark > 0
 	for _, r := range w.runs {
 		w.finish(r, how)
 	}
 	w.mu.Unlock()
+	if dark > 0 {
+		time.AfterFunc(dark, func() { _ = w.server.Close() })
+		return
+	}
 	_ = w.server.Close()
 }
 
@@ -131,8 +164,25 @@
 	w.changed = make(chan struct{})
 }
 
-// finish ends a run; mu is held.
+// finish ends a run, and the other runs of its gang; mu is held.
 func (w *worker) finish(r *taskRun, how string) {
+	w.finishOne(r, how)
+	g := w.b.gangs[gangOf(r)]
+	if !r.spec.Gang || g == nil {
+		return
+	}
+	delete(w.b.gangs, gangOf(r))
+	if how != "done" {
+		how = "broken"
+	}
+	for _, other := range g.members {
+		if other != r && other.on.runs[other.task] == other {
+			other.on.finishOne(other, how)
+		}
+	}
+}
+
+func (w *worker) finishOne(r *taskRun, how string) {
 	delete(w.runs, r.task)
 	w.barred[r.task] = max(w.barred[r.task], r.run)
 	w.lastEnd++
@@ -161,10 +211,14 @@
 			}
 		}
 		for _, r := range w.runs {
+			if w.runs[r.task] != r {
+				continue
+			}
 			switch {
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
 				w.finish(r, "stopped")
 			case r.spec.Lasts || !r.stopAt.IsZero():
+			case r.spec.Gang && !w.gangRuns(r, now):
 			case now.Sub(r.began) >= time.Duration(r.spec.Ms)*time.Millisecond:
 				how := "done"
 				if r.spec.Fails {
@@ -177,7 +231,32 @@
 	}
 }
 
+// gangRuns reports whether all members of the run's gang are present; alone it ends after gangTimeout. mu is held.
+func (w *worker) gangRuns(r *taskRun, now time.Time) bool {
+	g := w.b.gangs[gangOf(r)]
+	switch {
+	case g == nil:
+		return false
+	case !g.began.IsZero():
+		r.began = g.began
+		return true
+	case len(g.members) == r.spec.Count:
+		g.began = now
+		return true
+	case now.Sub(g.since) > gangTimeout:
+		w.finish(r, "alone")
+	}
+	return false
+}
+
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	dark := w.dark
+	w.mu.Unlock()
+	if dark {
+		<-r.Context().Done()
+		return
+	}
 	if w.b.BeforeWorker != nil && r.Header.Get("Carried-Out-Late") == "" {
 		switch status := w.b.BeforeWorker(w, r.URL.Path); {
 		case status == hang:
@@ -307,8 +386,19 @@
 	w.extend(lease)
 	var s spec
 	_ = json.Unmarshal([]byte(text(body, "spec")), &s)
-	r := &taskRun{task: task, run: run, spec: s, began: time.Now(), saved: text(body, "checkpoint"), worker: w.id}
+	if len(s.Steps) > 0 {
+		s = s.Steps[stepOf(task)]
+	}
+	r := &taskRun{task: task, run: run, spec: s, began: time.Now(), saved: text(body, "checkpoint"), on: w}
 	w.runs[task] = r
+	if s.Gang {
+		g := w.b.gangs[gangOf(r)]
+		if g == nil {
+			g = &gang{members: make(map[string]*taskRun), since: time.Now()}
+			w.b.gangs[gangOf(r)] = g
+		}
+		g.members[task] = r
+	}
 	w.b.noteStart(w, r, token)
 	w.answer(rw, "")
 }
@@ -356,6 +446,11 @@
 		}
 		w.mu.Lock()
 	}
+	if !w.up {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, t := range w.runs {
 		percent := 50.0
@@ -364,6 +459,7 @@
 		} else if t.spec.Ms > 0 {
 			percent = min(99, 100*float64(time.Since(t.began).Milliseconds())/float64(t.spec.Ms))
 		}
+		percent = math.Floor(percent)
 		running = append(running, []any{t.task, t.run, t.saved, percent, 100})
 	}
 	ended = append(ended, w.ends[:min(len(w.ends), 500)]...)
