--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -10,7 +10,6 @@
 var scenarios = map[string]func(b *bed, trouble bool){
 	"pending": pending,
 	"advice":  advice,
-	"long":    long,
 	"lasting": lasting,
 	"chaos":   chaos,
 }
