review: add case 8, lasting tasks that fail now and then are kept down

Five runs of five break the rule: a lasting task has no run for 9 s after its last one, though the only worker that it may use has room. If no task fails five of five hold.

--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -8,10 +8,12 @@
 )
 
 var scenarios = map[string]func(b *bed, trouble bool){
-	"pending": pending,
-	"advice":  advice,
-	"lasting": lasting,
-	"chaos":   chaos,
+	"pending":   pending,
+	"advice":    advice,
+	"lasting":   lasting,
+	"failing":   failing,
+	"cancelled": cancelled,
+	"chaos":     chaos,
 }
 
 func main() {
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -57,6 +57,7 @@
 	began   time.Time
 	stopAt  time.Time
 	saved   string
+	failAt  time.Time
 	on      *worker
 	endedAt time.Time
 	how     string
@@ -69,6 +70,8 @@
 	CPU   int64 `json:"cpu"`
 	Mem   int64 `json:"mem"`
 	Fails bool  `json:"fails"`
+	// MeanMs is the mean time after which a lasting task fails, 0 for one that doesn't.
+	MeanMs int `json:"mean"`
 	// Count is the number of the step's tasks; Gang reports that they run together, and Copies that a task may run twice at a time.
 	Count  int  `json:"count"`
 	Gang   bool `json:"gang"`
@@ -217,6 +220,8 @@
 			switch {
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
 				w.finish(r, "stopped")
+			case r.spec.Lasts && !r.failAt.IsZero() && now.After(r.failAt):
+				w.finish(r, "failed")
 			case r.spec.Lasts || !r.stopAt.IsZero():
 			case r.spec.Gang && !w.gangRuns(r, now):
 			case now.Sub(r.began) >= time.Duration(r.spec.Ms)*time.Millisecond:
@@ -391,6 +396,9 @@
 	}
 	r := &taskRun{task: task, run: run, spec: s, began: time.Now(), saved: text(body, "checkpoint"), on: w}
 	w.runs[task] = r
+	if s.MeanMs > 0 {
+		r.failAt = r.began.Add(time.Duration(rand.ExpFloat64() * float64(s.MeanMs) * float64(time.Millisecond)))
+	}
 	if s.Gang {
 		g := w.b.gangs[gangOf(r)]
 		if g == nil {
