--- a/review/bed/cancelled.go
+++ b/review/bed/cancelled.go
@@ -11,15 +11,17 @@
 )
 
 const (
-	// leaveAfter is how long the caller waits for the response to its submission before it leaves and cancels the job.
-	leaveAfter = time.Second
+	// callerTime is how long the caller waits for the response to its submission before it cancels the job.
+	callerTime = time.Second
+	// lateWrite is how long after its call the store carries out the write that it doesn't answer.
+	lateWrite = 5500 * time.Millisecond
 	// cancelTime and stopBound are the bounds for a cancel to take effect and for a run to be stopped.
 	cancelTime = 3 * time.Second
 	stopBound  = 900 * time.Millisecond
 )
 
-// cancelled hands in a job, leaves without a response and cancels the job at another entry; the store doesn't answer the first write
-// of the job and carries it out late. No task of the job may start cancelTime after the cancel was answered.
+// cancelled hands in a job, gets no answer or 504 in time, and cancels the job at another entry; the store doesn't answer the first
+// write of the job and carries it out late. No task of the job may start cancelTime after the cancel was answered.
 func cancelled(b *bed, trouble bool) {
 	const host, prefix = "q.example", "/q/"
 	b.addPool("pool-a", 4, false)
@@ -28,6 +30,7 @@
 	b.putConfig()
 	id := fmt.Sprintf("%016x", 0xcace1)
 	var lost atomic.Bool
+	b.store.LateAfter = lateWrite
 	b.store.Before = func(path string, r *http.Request) int {
 		if !trouble || path != names["tx"] {
 			return 0
@@ -55,12 +58,12 @@
 		near = b.entries[2]
 	}
 	began := time.Now()
-	status, _ := near.call("POST", host, prefix+id, submission, leaveAfter)
+	status, _ := near.call("POST", host, prefix+id, submission, callerTime)
 	b.record("POST %s at %s: %d after %d ms", id, near.name, status, time.Since(began).Milliseconds())
-	time.Sleep(leaveAfter - time.Since(began))
+	time.Sleep(callerTime - time.Since(began))
 	status, _ = other.call("DELETE", host, prefix+id, nil, 3*time.Second)
 	answered := time.Now()
-	b.record("DELETE %s at %s: %d", id, other.name, status)
+	b.record("DELETE %s at %s: %d; the job's write that the store didn't answer: %v", id, other.name, status, lost.Load())
 	if status != 200 && status != 410 {
 		b.fatal("the cancel got no answer")
 	}
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -37,6 +37,8 @@
 	Before func(path string, r *http.Request) int
 	// After is called after a transaction was applied; it returns true if the response is to be lost.
 	After func(part string) bool
+	// LateAfter is how long after its call a late transaction is carried out, 0 for 1 to 6 s.
+	LateAfter time.Duration
 }
 
 func newStore() *store {
@@ -147,7 +149,11 @@
 func (s *store) serveLate(r *http.Request) {
 	var body map[string][]row
 	if r.URL.Path == names["tx"] && json.NewDecoder(r.Body).Decode(&body) == nil {
-		time.AfterFunc(time.Second+time.Duration(rand.Intn(5000))*time.Millisecond, func() { s.apply(body) })
+		delay := s.LateAfter
+		if delay == 0 {
+			delay = time.Second + time.Duration(rand.Intn(5000))*time.Millisecond
+		}
+		time.AfterFunc(delay, func() { s.apply(body) })
 	}
 	<-r.Context().Done()
 }
