--- a/review/bed/cloud.go
+++ b/review/bed/cloud.go
@@ -37,6 +37,8 @@
 	moveTime        = 1500 * time.Millisecond
 	maintenanceTime = 2 * time.Second
 	callTime        = 4 * time.Millisecond
+	// rebootTime is the time from a crash to the next boot of an instance.
+	rebootTime = 3 * time.Second
 )
 
 // boot starts a worker on the instance; mu is held.
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -12,6 +12,7 @@
 	"advice":    advice,
 	"lasting":   lasting,
 	"failing":   failing,
+	"deadly":    deadly,
 	"cancelled": cancelled,
 	"chaos":     chaos,
 }
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -51,13 +51,15 @@
 
 // taskRun is a run of a task on a worker.
 type taskRun struct {
-	task    string
-	run     int64
-	spec    spec
-	began   time.Time
-	stopAt  time.Time
-	saved   string
-	failAt  time.Time
+	task   string
+	run    int64
+	spec   spec
+	began  time.Time
+	stopAt time.Time
+	saved  string
+	failAt time.Time
+	// crashes is set once the task has crashed its worker.
+	crashes bool
 	on      *worker
 	endedAt time.Time
 	how     string
@@ -72,6 +74,8 @@
 	Fails bool  `json:"fails"`
 	// MeanMs is the mean time after which a lasting task fails, 0 for one that doesn't.
 	MeanMs int `json:"mean"`
+	// CrashMs is the time after which a task crashes its worker, 0 for one that doesn't.
+	CrashMs int `json:"crash"`
 	// Count is the number of the step's tasks; Gang reports that they run together, and Copies that a task may run twice at a time.
 	Count  int  `json:"count"`
 	Gang   bool `json:"gang"`
@@ -218,6 +222,10 @@
 				continue
 			}
 			switch {
+			case r.spec.CrashMs > 0 && !r.crashes && now.Sub(r.began) >= time.Duration(r.spec.CrashMs)*time.Millisecond:
+				r.crashes = true
+				w.b.record("%s crashes its worker %s", r.task, w.id)
+				go w.b.cloud.crash(w.instance, rebootTime)
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
 				w.finish(r, "stopped")
 			case r.spec.Lasts && !r.failAt.IsZero() && now.After(r.failAt):
