--- a/review/bed/failing.go
+++ b/review/bed/failing.go
@@ -8,7 +8,7 @@
 const (
 	failingJobs    = 6
 	failingCPU     = 1600
-	failingMean    = 30 * time.Second
+	failingMean    = 40 * time.Second
 	failingWorkers = 2 * rackSize
 	failingTime    = 90 * time.Second
 )
--- a/review/bed/pending.go
+++ b/review/bed/pending.go
@@ -22,8 +22,9 @@
 }
 
 const (
-	// darkTime is how long the rack is dark, pendingJobs the number of jobs that are handed in meanwhile.
+	// darkTime is how long the rack is dark, from darkAfter after pendingJobs jobs were sent: before any of them can be stored.
 	darkTime    = 7 * time.Second
+	darkAfter   = 5 * time.Millisecond
 	pendingJobs = 40
 	// pendingAge is the age from which a job that has not begun has to be given as pending: the bound of visibility and 2 s.
 	pendingAge = 5 * time.Second
@@ -43,12 +44,6 @@
 	time.Sleep(5 * time.Second)
 	// The second entry is in the data centre of the second rack.
 	near := b.entries[1]
-	if trouble {
-		b.record("the rack in %s goes dark for %v", near.zone, darkTime)
-		for n := rackSize; n < 2*rackSize; n++ {
-			b.cloud.crashSilently(fmt.Sprintf("m-%03d", n), darkTime, darkTime)
-		}
-	}
 	accepted := make(map[string]time.Time)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -66,6 +61,13 @@
 			}
 		}()
 	}
+	time.Sleep(darkAfter)
+	if trouble {
+		b.record("the rack in %s goes dark for %v", near.zone, darkTime)
+		for n := rackSize; n < 2*rackSize; n++ {
+			b.cloud.crashSilently(fmt.Sprintf("m-%03d", n), darkTime, darkTime)
+		}
+	}
 	wg.Wait()
 	end := time.Now().Add(9 * time.Second)
 	for time.Now().Before(end) {
