--- a/review/bed/advice.go
+++ b/review/bed/advice.go
@@ -27,7 +27,7 @@
 func advice(b *bed, trouble bool) {
 	const host, prefix = "q.example", "/q/"
 	b.policy = newPolicy(b, decideTime, decideEach, ticketTime)
-	b.serve(b.ip(3)+":8620", b.policy)
+	b.serve(b.address(3), b.policy)
 	b.addPool("pool-a", adviceWorkers, false)
 	b.addPool("spare", 2, true)
 	b.addQueue("queue-a", host, prefix, "pool-a", 3)
@@ -91,6 +91,7 @@
 		status, text := b.entries[n%len(b.entries)].call("GET", host, prefix+id, nil, 3*time.Second)
 		var answer struct{ State string }
 		_ = json.Unmarshal(text, &answer)
+		b.record("GET %s: %d %s", id, status, answer.State)
 		if answer.State != "completed" {
 			open[id] = fmt.Sprintf("%d %s", status, answer.State)
 		}
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"text/template"
@@ -24,9 +25,11 @@
 	dir     string
 	program string
 	net     int
-	began   time.Time
-	store   *store
-	cloud   *cloud
+	// port is the first of the ports that are used on each address.
+	port  int
+	began time.Time
+	store *store
+	cloud *cloud
 	// policy is nil if no queue has a placement policy.
 	policy  *policy
 	spare   map[string]bool
@@ -90,6 +93,49 @@
 
 func (b *bed) ip(n int) string { return fmt.Sprintf("127.%d.%d.%d", 64+b.net/200, 1+b.net%200, n) }
 
+// The offsets of the ports from the first one: that of the platform's services, those of an entry for readiness, control and callers, and
+// the range for calls between entries. The metrics have the port of the command in the deploy file.
+const (
+	readinessPort = 2
+	controlPort   = 3
+	callerPort    = 4
+	firstPeerPort = 10
+	lastPeerPort  = 25
+	metricsPort   = 7071
+	maxEntries    = 5
+)
+
+// chooseAddresses chooses loopback addresses and ports that are free.
+func (b *bed) chooseAddresses() {
+	for range 100 {
+		b.net, b.port = rand.Intn(10000), 20000+rand.Intn(10000)
+		if b.isFree() {
+			return
+		}
+	}
+	b.fatal("no free addresses")
+}
+
+func (b *bed) isFree() bool {
+	addresses := []string{b.address(1), b.address(2), b.address(3)}
+	for n := range maxEntries {
+		for _, port := range []int{b.port + readinessPort, b.port + controlPort, b.port + callerPort, b.port + firstPeerPort, metricsPort} {
+			addresses = append(addresses, fmt.Sprintf("%s:%d", b.ip(10+n), port))
+		}
+	}
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// address returns the address of one of the platform's services.
+func (b *bed) address(n int) string { return fmt.Sprintf("%s:%d", b.ip(n), b.port) }
+
 // maxRunTime is the longest time that a scenario may take.
 const maxRunTime = 115 * time.Second
 
@@ -108,17 +154,7 @@
 		dir: dir, program: program, began: time.Now(), spare: make(map[string]bool), zones: []string{"za", "zb", "zc"}, log: bufio.NewWriter(file),
 		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), gangs: make(map[string]*gang), counts: make(map[string]int), stopTime: 200 * time.Millisecond, useCloud: true,
 	}
-	for try := 0; ; try++ {
-		b.net = rand.Intn(10000)
-		l, err := net.Listen("tcp", b.ip(1)+":8620")
-		if err == nil {
-			_ = l.Close()
-			break
-		}
-		if try > 20 {
-			b.fatal("no free address: %v", err)
-		}
-	}
+	b.chooseAddresses()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
@@ -131,8 +167,8 @@
 	}()
 	b.store = newStore()
 	b.cloud = &cloud{b: b, machines: make(map[string]*machine), waves: make(map[int64]map[string]bool)}
-	b.serve(b.ip(1)+":8620", b.store)
-	b.serve(b.ip(2)+":8620", b.cloud)
+	b.serve(b.address(1), b.store)
+	b.serve(b.address(2), b.cloud)
 	return b
 }
 
@@ -236,12 +272,14 @@
 		b.entries = append(b.entries, e)
 		e.settings = filepath.Join(b.dir, e.name+".yaml")
 		var text bytes.Buffer
-		data := map[string]any{"Name": e.name, "IP": e.ip, "Zone": e.zone, "Zones": b.zones, "Store": b.ip(1) + ":8620", "Cloud": b.ip(2) + ":8620"}
+		data := map[string]any{"Name": e.name, "IP": e.ip, "Zone": e.zone, "Zones": b.zones, "Store": b.address(1), "Cloud": b.address(2), "Readiness": b.port + readinessPort, "Control": b.port + controlPort, "Callers": b.port + callerPort,
+			"FirstPeer": b.port + firstPeerPort, "LastPeer": b.port + lastPeerPort,
+		}
 		if !b.useCloud {
 			data["Cloud"] = ""
 		}
 		if b.policy != nil {
-			data["Policy"] = b.ip(3) + ":8620"
+			data["Policy"] = b.address(3)
 		}
 		err := template.Must(template.New("").Parse(settingsTemplate)).Execute(&text, data)
 		if err == nil {
@@ -261,7 +299,7 @@
 	if err != nil {
 		e.b.fatal("log: %v", err)
 	}
-	cmd := exec.Command(e.b.program, "--metrics-port", "7071")
+	cmd := exec.Command(e.b.program, "--metrics-port", strconv.Itoa(metricsPort))
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "SAMPHIREKEEL_SETTINGS=" + e.settings}
 	cmd.Stdout, cmd.Stderr = output, output
 	err = cmd.Start()
@@ -326,7 +364,7 @@
 
 func (e *entry) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + e.ip + ":8622/v1/ready")
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", e.ip, e.b.port+readinessPort))
 	if err != nil {
 		return false
 	}
@@ -382,7 +420,7 @@
 
 // call sends a request of a caller to an entry; a status of 0 means that there was no response.
 func (e *entry) call(method, host, path string, body []byte, limit time.Duration) (int, []byte) {
-	req, _ := http.NewRequest(method, "http://"+e.ip+":8624"+path, bytes.NewReader(body))
+	req, _ := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", e.ip, e.b.port+callerPort, path), bytes.NewReader(body))
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Time-Budget-Ms", fmt.Sprint(limit.Milliseconds()))
