--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -13,6 +13,7 @@
 	"lasting":   lasting,
 	"failing":   failing,
 	"deadly":    deadly,
+	"upkeep":    upkeep,
 	"cancelled": cancelled,
 	"chaos":     chaos,
 }
