--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -38,6 +38,11 @@
 	// useCloud is cleared for a deployment without an instance service.
 	useCloud bool
 	stopTime time.Duration
+	// further is set for the scenario with further troubles.
+	further bool
+	// saved holds, by task, the checkpoints that workers have listed.
+	saved map[string]map[string]bool
+	conns connections
 	// BeforeWorker is called before a call to a worker is handled, and returns a status to answer with, 0 to go on and -1 to break
 	// the connection.
 	BeforeWorker func(w *worker, path string) int
@@ -77,6 +82,8 @@
 	seen       time.Time
 	// copies reports that the task may run twice at a time.
 	copies bool
+	// gang reports that the task is a member of a gang.
+	gang bool
 }
 
 // entry is one process of the system.
@@ -152,7 +159,7 @@
 	}
 	b := &bed{
 		dir: dir, program: program, began: time.Now(), spare: make(map[string]bool), zones: []string{"za", "zb", "zc"}, log: bufio.NewWriter(file),
-		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), gangs: make(map[string]*gang), counts: make(map[string]int), stopTime: 200 * time.Millisecond, useCloud: true,
+		workers: make(map[string]*worker), history: make(map[string][]*taskNote), upkeeps: make(map[int64][]string), gangs: make(map[string]*gang), counts: make(map[string]int), saved: make(map[string]map[string]bool), stopTime: 200 * time.Millisecond, useCloud: true,
 	}
 	b.chooseAddresses()
 	signals := make(chan os.Signal, 1)
@@ -177,7 +184,9 @@
 	if err != nil {
 		b.fatal("listen: %v", err)
 	}
-	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
+	go func() {
+		_ = (&http.Server{Handler: b.conns.wrap(handler), ConnContext: b.conns.add, ConnState: b.conns.changed}).Serve(l)
+	}()
 }
 
 // record writes a line with the time since the start.
--- a/review/bed/check.go
+++ b/review/bed/check.go
@@ -18,9 +18,18 @@
 	job := jobOf(r.task)
 	b.starts = append(b.starts, startNote{job: job, at: time.Now()})
 	others := b.history[r.task]
-	b.history[r.task] = append(others, &taskNote{worker: w.id, run: r.run, token: token, began: r.began, copies: r.spec.Copies})
+	b.history[r.task] = append(others, &taskNote{worker: w.id, run: r.run, token: token, began: r.began, copies: r.spec.Copies, gang: r.spec.Gang})
 	b.mu.Unlock()
 	b.checkStart(w, r)
+	failed := 0
+	for _, o := range others {
+		if o.how == "failed" && !o.seen.IsZero() && !r.spec.Copies && !r.spec.Lasts {
+			failed++
+		}
+	}
+	if failed >= maxAttempts {
+		b.breaks("BUDGET: %s starts on %s (run %d) after %d runs have ended failed", r.task, w.id, r.run, failed)
+	}
 	for _, o := range others {
 		switch {
 		case r.spec.Copies:
@@ -32,6 +41,34 @@
 	}
 }
 
+// mayFail reports whether the job may be given up: a task, or a gang, has failed maxAttempts times, or has crashed two workers.
+func (b *bed) mayFail(job string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	failed, crashed := make(map[string]int), make(map[string]int)
+	for task, notes := range b.history {
+		if jobOf(task) != job {
+			continue
+		}
+		for _, n := range notes {
+			name := task
+			if n.gang {
+				name = task[:strings.LastIndex(task, ".")]
+			}
+			switch n.how {
+			case "failed":
+				failed[name]++
+			case "crashed":
+				crashed[name]++
+			}
+			if failed[name] >= maxAttempts || crashed[name] >= 2 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (b *bed) note(task string, worker string, run int64) *taskNote {
 	for _, n := range b.history[task] {
 		if n.worker == worker && n.run == run {
@@ -58,12 +95,15 @@
 	task := end[1].(string)
 	n := b.note(task, w.id, end[2].(int64))
 	var later *taskNote
-	if n != nil && w.lapsedAt.After(n.ended) {
+	lapsed := n != nil && w.lapsedAt.After(n.ended)
+	if lapsed && n.how == "done" {
 		// The lease has lapsed between the end and its being taken note of, so that it doesn't count.
 		n.how = "done, but lapsed"
 	}
 	if n != nil {
-		n.seen = time.Now()
+		if !lapsed || n.how != "failed" {
+			n.seen = time.Now()
+		}
 		for _, o := range b.history[task] {
 			if n.how == "done" && !n.copies && o != n && o.began.After(n.ended) {
 				later = o
--- a/review/bed/cloud.go
+++ b/review/bed/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"sync"
@@ -21,6 +22,8 @@
 	boots int
 	// Before is called before a call is handled, and returns a status to answer with, 0 to go on.
 	Before func(path string) int
+	// Lose is called before an order is carried out and reports whether its response is to be lost.
+	Lose func() bool
 }
 
 // machine is an instance.
@@ -150,6 +153,11 @@
 		return
 	}
 	m.fence = fence
+	if c.Lose != nil && c.Lose() {
+		// The call is carried out, and its response is lost.
+		defer abort(w)
+		w = httptest.NewRecorder()
+	}
 	switch r.URL.Path {
 	case names["move"]:
 		c.serveMove(w, m, text(body, "pool"), r.Header.Get(names["holder"]), fence)
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -16,6 +16,7 @@
 	"upkeep":    upkeep,
 	"cancelled": cancelled,
 	"chaos":     chaos,
+	"mixture":   mixture,
 }
 
 func main() {
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -39,6 +39,8 @@
 	After func(part string) bool
 	// LateAfter is how long after its call a late transaction is carried out, 0 for 1 to 6 s.
 	LateAfter time.Duration
+	// forgotten is the version up to which the history was discarded.
+	forgotten uint64
 }
 
 func newStore() *store {
@@ -97,6 +99,14 @@
 	s.changes = append(s.changes, row{Table: k.Table, Part: k.Part, Key: k.Key, Ver: s.ver, Gone: true})
 }
 
+// forget discards the history.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.ver
+	s.wake()
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -272,6 +282,11 @@
 	timer := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		var found []row
 		first := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].Ver > after })
 		for _, c := range s.changes[first:] {
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -58,6 +58,8 @@
 	stopAt time.Time
 	saved  string
 	failAt time.Time
+	// savedAt is when the run saved its progress last.
+	savedAt time.Time
 	// crashes is set once the task has crashed its worker.
 	crashes bool
 	on      *worker
@@ -85,6 +87,9 @@
 	// FirstMs and IntervalMs are the times of the job's occurrences.
 	FirstMs    int64 `json:"first"`
 	IntervalMs int64 `json:"interval"`
+	// FailShare is the share of runs that fail; Saves reports that the tasks save their progress.
+	FailShare float64 `json:"failShare"`
+	Saves     bool    `json:"saves"`
 	// Steps holds the specs of the steps where they differ.
 	Steps []spec `json:"steps"`
 }
@@ -114,7 +119,7 @@
 	}
 	w.address = listener.Addr().String()
 	w.up = true
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w.b.conns.wrap(w), ConnContext: w.b.conns.add, ConnState: w.b.conns.changed}
 	go func() { _ = w.server.Serve(listener) }()
 	go w.run()
 	w.register()
@@ -227,6 +232,7 @@
 				w.b.record("%s crashes its worker %s", r.task, w.id)
 				go w.b.cloud.crash(w.instance, rebootTime)
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
+				w.save(r)
 				w.finish(r, "stopped")
 			case r.spec.Lasts && !r.failAt.IsZero() && now.After(r.failAt):
 				w.finish(r, "failed")
@@ -234,7 +240,7 @@
 			case r.spec.Gang && !w.gangRuns(r, now):
 			case now.Sub(r.began) >= time.Duration(r.spec.Ms)*time.Millisecond:
 				how := "done"
-				if r.spec.Fails {
+				if r.spec.Fails || rand.Float64() < r.spec.FailShare {
 					how = "failed"
 				}
 				w.finish(r, how)
@@ -403,6 +409,7 @@
 		s = s.Steps[stepOf(task)]
 	}
 	r := &taskRun{task: task, run: run, spec: s, began: time.Now(), saved: text(body, "checkpoint"), on: w}
+	w.checkSaved(r)
 	w.runs[task] = r
 	if s.MeanMs > 0 {
 		r.failAt = r.began.Add(time.Duration(rand.ExpFloat64() * float64(s.MeanMs) * float64(time.Millisecond)))
@@ -476,6 +483,9 @@
 			percent = min(99, 100*float64(time.Since(t.began).Milliseconds())/float64(t.spec.Ms))
 		}
 		percent = math.Floor(percent)
+		if t.spec.Saves && time.Since(t.savedAt) > checkpointTime && time.Since(t.began) > checkpointTime {
+			w.save(t)
+		}
 		running = append(running, []any{t.task, t.run, t.saved, percent, 100})
 	}
 	ended = append(ended, w.ends[:min(len(w.ends), 500)]...)
