--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"math/rand"
@@ -412,7 +413,7 @@
 	w.checkSaved(r)
 	w.runs[task] = r
 	if s.MeanMs > 0 {
-		r.failAt = r.began.Add(time.Duration(rand.ExpFloat64() * float64(s.MeanMs) * float64(time.Millisecond)))
+		r.failAt = r.began.Add(drawFailure(task, run, s.MeanMs))
 	}
 	if s.Gang {
 		g := w.b.gangs[gangOf(r)]
@@ -426,6 +427,14 @@
 	w.answer(rw, "")
 }
 
+// drawFailure returns the time after which a run of a lasting task fails. It is the same each time for the same run.
+func drawFailure(task string, run int64, meanMs int) time.Duration {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%s %d", task, run)
+	draw := rand.New(rand.NewSource(int64(hash.Sum64()))).ExpFloat64()
+	return time.Duration(draw * float64(meanMs) * float64(time.Millisecond))
+}
+
 func (w *worker) serveStop(rw http.ResponseWriter, body map[string]json.RawMessage) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
