--- a/review/bed/upkeep.go
+++ b/review/bed/upkeep.go
@@ -7,8 +7,8 @@
 
 const (
 	upkeepInterval = 500 * time.Millisecond
-	upkeepDuration = 20 * time.Second
-	upkeepTraffic  = 28 * time.Second
+	upkeepDuration = 25 * time.Second
+	upkeepTraffic  = 33 * time.Second
 	// The milli-cores of a task of the job on each worker, of one on each worker that isn't due, and of the usual jobs.
 	spreadCPU, fillerCPU, usualCPU = 1000, 12000, 4000
 )
