schedule: count a job as begun only when a worker is known to have begun a task

Cause: start set the job's flag, took it off the pending ones and stored it as it sent the first order. A lost response, a rejection or an order that wasn't sent left it so.

Change: a job has begun once a worker accepts an order for one of its tasks, lists a run of it or its end. pending, the state and the stored row follow; an adopted run is stored too.

--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -141,8 +141,9 @@
 // dayRun is one run of a day with one seed.
 type dayRun struct {
 	*testCluster
-	day        *day
-	dayTenants dayTenants
+	day              *day
+	dayTenants       dayTenants
+	storeDisturbance storeDisturbance
 	// faultFree counts the jobs submitted in fault-free times, inTime and late those of them that have ended.
 	inTime, late, faultFree int
 }
@@ -253,6 +254,7 @@
 			p.injectFault(&p.day.Faults[i])
 		})
 	}
+	p.group.Go(func() { p.watchPending(began.Add(time.Duration(p.day.Length))) })
 	time.Sleep(time.Duration(p.day.Length))
 }
 
@@ -487,6 +489,10 @@
 		p.t.Errorf("unknown kind of fault %q", f.Kind)
 		return
 	}
+	if disturbsStore[f.Kind] {
+		p.storeFaultBegan()
+		defer p.storeFaultEnded()
+	}
 	if !disturbsEntries[f.Kind] {
 		inject(f, target, time.Duration(f.For))
 		return
--- a/keel/schedule/api.go
+++ b/keel/schedule/api.go
@@ -67,12 +67,12 @@
 // MaxWorkers returns the number of workers that there are if no instance is in a spare pool.
 func (s *Scheduler) MaxWorkers() int { return max(len(s.workers), len(s.fleet.instances)) }
 
-// PendingJobs returns the number of the queue's open jobs of which no task has started.
+// PendingJobs returns the number of the queue's open jobs of which no worker is known to have begun a task.
 func (s *Scheduler) PendingJobs(name string) int { return s.pending[name] }
 
-// updatePending counts the job as pending, or no longer, after it was added, started or ended.
+// updatePending counts the job as pending, or no longer, after it was added, begun or ended.
 func (s *Scheduler) updatePending(j *job) {
-	pending := j.open() && !j.started
+	pending := j.open() && !j.begun
 	if pending == j.pending {
 		return
 	}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -39,7 +39,8 @@
 	// released is the number of occurrences whose scheduled time has passed; done is the number of completed ones.
 	released int
 	done     int
-	started  bool
+	// begun is set once a worker is known to have begun a task: an order to start one may be lost or rejected.
+	begun bool
 	// pending is set while the job is counted as pending.
 	pending bool
 	// outcome is set once the job's result is decided, in change number outcomeChange; stored is set once it is in the
@@ -193,12 +194,22 @@
 	switch {
 	case j.outcome != nil && j.stored:
 		return j.outcome.State
-	case j.started:
+	case j.begun:
 		return work.Running
 	}
 	return work.Queued
 }
 
+// recordBegun records that a worker has begun a task of the job.
+func (s *Scheduler) recordBegun(j *job) {
+	if j.begun || !j.open() {
+		return
+	}
+	j.begun = true
+	s.updatePending(j)
+	s.markDirty(j)
+}
+
 // addSubmission adds a submitted job with what the ledger holds of it.
 func (s *Scheduler) addSubmission(submission ledger.Submission, record ledger.JobRecord, source string) {
 	if s.jobs[submission.Job.ID] != nil || s.unreadable[submission.Job.ID] && record.Outcome == nil {
--- a/keel/schedule/record.go
+++ b/keel/schedule/record.go
@@ -32,7 +32,7 @@
 		}
 		done[k] = l.doneTasks[first:]
 	}
-	l.encodedProgress = work.Progress{Started: j.started, Done: done, Failures: j.failures, Crashes: j.crashes, Checkpoints: j.checkpoints}
+	l.encodedProgress = work.Progress{Started: j.begun, Done: done, Failures: j.failures, Crashes: j.crashes, Checkpoints: j.checkpoints}
 	if len(j.remoteDataCentres) > 0 {
 		l.encodedProgress.RemoteDataCentres = slices.Sorted(maps.Keys(j.remoteDataCentres))
 	}
--- a/keel/schedule/restore.go
+++ b/keel/schedule/restore.go
@@ -4,7 +4,7 @@
 
 // restore applies the progress that earlier leaders stored.
 func (s *Scheduler) restore(j *job, p *work.Progress) {
-	j.started = p.Started
+	j.begun = p.Started
 	for _, dataCentre := range p.RemoteDataCentres {
 		j.allowDataCentre(dataCentre, 0)
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -180,14 +180,8 @@
 	r := s.addRun(t, w, number)
 	r.besideAtStart, r.useAtStart = beside, use
 	r.setIsolation(t.suspicion())
-	j := t.job()
-	if !j.started {
-		j.started = true
-		s.updatePending(j)
-		s.markDirty(j)
-	}
 	order := worker.StartOrder{
-		Task: t.id(), Run: number, Spec: j.Spec, LeaseEnd: s.extendLease(w), Token: s.Epoch,
+		Task: t.id(), Run: number, Spec: t.job().Spec, LeaseEnd: s.extendLease(w), Token: s.Epoch,
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	}
 	s.sendStart(r, order)
@@ -283,6 +277,7 @@
 	case worker.Accepted:
 		r.confirmedAt, r.progressedAt = now, now
 		r.inDoubt = false
+		s.recordBegun(r.task.job())
 		s.Metrics.addStart(now - r.ordered)
 		s.Log.WriteFunc(event.TaskStarted, func() event.Fields {
 			return event.Fields{
@@ -352,6 +347,7 @@
 	now := s.Now()
 	r := w.runs[live.Task]
 	if r != nil && r.number == live.Run {
+		s.recordBegun(r.task.job())
 		if r.confirmedAt == 0 || r.inDoubt {
 			r.confirmedAt, r.progressedAt = now, now
 		}
@@ -373,8 +369,7 @@
 	r := s.addRun(t, w, live.Run)
 	now := s.Now()
 	r.confirmedAt, r.progressedAt, r.adopted = now, now, true
-	t.job().started = true
-	s.updatePending(t.job())
+	s.recordBegun(t.job())
 	s.updateProgress(r, live, now)
 }
 
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -67,7 +67,7 @@
 	jobs           map[string]*job
 	// timed holds the open jobs with scheduled times that are still to come.
 	timed map[*job]bool
-	// pending counts the open jobs of which no task has started, by queue.
+	// pending counts the open jobs of which no worker is known to have begun a task, by queue.
 	pending map[string]int
 	// unrouted holds the open jobs that wait for a configuration: their queue isn't known, or a task has failed as often as
 	// the terms of their acceptance allow.
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -39,6 +39,7 @@
 func (s *Scheduler) applyOpenJobEnd(w *workerState, t *task, end worker.End, r *run) (*job, uint64) {
 	j := t.job()
 	t.nextRun = max(t.nextRun, end.Run+1)
+	s.recordBegun(j)
 	s.endTrial(t, end.Run)
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
--- a/keel/work/state.go
+++ b/keel/work/state.go
@@ -78,7 +78,7 @@
 
 // Progress is the stored progress of a job that hasn't ended.
 type Progress struct {
-	// Started reports that a start order was given for some task.
+	// Started reports that a worker is known to have begun some task.
 	Started bool `json:"started,omitempty"`
 	// RemoteDataCentres lists the data centres other than the job's home where its tasks may also run.
 	RemoteDataCentres []string `json:"away,omitempty"`
