schedule: send calls to a placement policy only as fast as it answers them

Cause: every step that lacked tickets sent its own call, limited to the time of one call, though the service takes the calls of an entry in turn. With four in flight each waited longer than its limit for the others, was given up and sent again 150 ms later, so that the service was busy with answers for nobody. Each call asked for all workers with room, and denied workers were asked for again at once.

Change: keel/policy counts the calls in flight and sends the next one when the service is about to be free; a late answer is awaited beside the next call. The call goes to the first step in the order of service that has room, the pools taking turns, for as many workers as it needs by the share that the policy allowed so far; denied workers rest for 10 s. An event, two metrics and a cause in tasks_waiting show it (docs/design/0096, docs/incidents/0021).

The emulator's check of stalls counts room only on workers that the policy allows, as it does for labels: a start without a ticket is rejected.

--- a/entry/site/cluster_test.go
+++ b/entry/site/cluster_test.go
@@ -117,10 +117,32 @@
 	c.checker.SetAttempts(name, attempts)
 	c.queues = append(c.queues, queue.Queue{
 		Name: name, Host: name + ".example", Prefix: "/" + name + "/", Pool: pool, Timeout: 3 * time.Second,
-		LatencyTarget: 600 * time.Millisecond, Stretch: 1.6, MaxAttempts: attempts,
+		LatencyTarget: 600 * time.Millisecond, Stretch: 1.6, MaxAttempts: attempts, Policy: c.policyTiming(),
 	})
 }
 
+// policyTiming returns the timing of the queues' placement policy, nil without one.
+func (c *testCluster) policyTiming() *queue.PolicyTiming {
+	if c.fleet.Policy == nil {
+		return nil
+	}
+	return &c.fleet.Policy.Timing
+}
+
+// policyClient returns the entry's client of the policy service, nil without one; its calls fail once the entry is killed.
+func (c *testCluster) policyClient(p *process) *worker.PolicyClient {
+	if c.fleet.Policy == nil {
+		return nil
+	}
+	inner := c.fleet.Policy.Client(p.name)
+	return &worker.PolicyClient{RequestTickets: func(ctx context.Context, step string, workers []string, timeout time.Duration) ([]worker.Ticket, error) {
+		if p.killed.Load() {
+			return nil, errKilled
+		}
+		return inner.RequestTickets(ctx, step, workers, timeout)
+	}}
+}
+
 func (c *testCluster) putConfig() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,7 +188,7 @@
 			InstanceService: deployment.InstanceService{OrdersPerSecond: 64, ReadsPerSecond: 64},
 		},
 		Log: event.New(c.log, true), Version: "test", Codec: codec, RelayMinWorkers: c.relayMinWorkers,
-		Store: c.storeClient(p), Workers: c.workerClient(p), Provider: c.providerClient(p),
+		Store: c.storeClient(p), Workers: c.workerClient(p), Provider: c.providerClient(p), Policy: c.policyClient(p),
 		Listen: func(address string) (net.Listener, error) { return c.network.Listen(dataCentre, address) },
 		Dial:   func(address string, timeout time.Duration) (net.Conn, error) { return c.dialFrom(p, address, timeout) },
 		Now:    func() time.Duration { return time.Since(c.began) + time.Hour },
--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -53,11 +53,13 @@
 	// SameID makes workers keep their ID when they start again after a crash.
 	SameID bool `json:"same_id"`
 	// ListedEnds is the number of ends that a worker lists at a time, 0 for the usual number.
-	ListedEnds int        `json:"listed_ends"`
-	Seeds      []uint64   `json:"seeds"`
-	Traffic    []traffic  `json:"traffic"`
-	Faults     []dayFault `json:"faults"`
-	Length     duration   `json:"length"`
+	ListedEnds int `json:"listed_ends"`
+	// Policy is the placement policy of all queues, nil for none.
+	Policy  *dayPolicy `json:"policy"`
+	Seeds   []uint64   `json:"seeds"`
+	Traffic []traffic  `json:"traffic"`
+	Faults  []dayFault `json:"faults"`
+	Length  duration   `json:"length"`
 	// MinAccepted is the minimum fraction of the submitted jobs that must be accepted, and MinEnded the minimum
 	// fraction of those that must have ended when the scenario does.
 	MinAccepted float64 `json:"accepted"`
@@ -141,9 +143,9 @@
 // dayRun is one run of a day with one seed.
 type dayRun struct {
 	*testCluster
-	day              *day
-	dayTenants       dayTenants
-	storeDisturbance storeDisturbance
+	day         *day
+	dayTenants  dayTenants
+	storeFaults storeFaults
 	// faultFree counts the jobs submitted in fault-free times, inTime and late those of them that have ended.
 	inTime, late, faultFree int
 }
@@ -198,6 +200,7 @@
 	if p.day.ListedEnds > 0 {
 		p.fleet.MaxListedEnds = p.day.ListedEnds
 	}
+	p.buildPolicy()
 	poolNames := make([]string, 0, len(p.day.Pools))
 	for name := range p.day.Pools {
 		poolNames = append(poolNames, name)
@@ -469,12 +472,16 @@
 		"shrink":             p.shrink,
 		"vanish":             p.vanish,
 		"reuse":              p.reuse,
+		"policy_slow":        p.slowPolicy,
+		"policy_silent":      p.silencePolicy,
 		"unreachable":        p.partitionWorkers,
 		"partitioned":        p.partitionWorkers,
 		"instance_service":   p.instanceServiceOutage,
 		"stale_list":         p.instanceServiceOutage,
 		"config":             func(*dayFault, string, time.Duration) { p.putConfig() },
 		"withdraw":           p.withdrawKey,
+		// The traffic has a burst, of which jobs may be late.
+		"burst": func(*dayFault, string, time.Duration) {},
 		"remove_queue": func(_ *dayFault, target string, length time.Duration) {
 			p.setRemoved("q-"+target, true)
 			time.Sleep(length)
@@ -489,7 +496,7 @@
 		p.t.Errorf("unknown kind of fault %q", f.Kind)
 		return
 	}
-	if disturbsStore[f.Kind] {
+	if disruptsStore[f.Kind] {
 		p.storeFaultBegan()
 		defer p.storeFaultEnded()
 	}
@@ -704,6 +711,7 @@
 		p.t.Error("no relay was used")
 	}
 	p.checkFraction("of the wave's instances were maintained", maintained, requested, p.day.MinWaveDone)
+	p.checkPolicy()
 	running, all := p.checker.LongRunningCounts()
 	if running < all {
 		p.t.Errorf("%d of %d long-running tasks run at the end", running, all)
--- a/entry/site/pendingday_test.go
+++ b/entry/site/pendingday_test.go
@@ -11,38 +11,38 @@
 	// maxPendingAge is the age from which an accepted job that hasn't begun must be counted: callers see an accepted job within 3 s,
 	// and a number may be 2 s old.
 	maxPendingAge = 5 * time.Second
-	// contactTime is the time without a disturbance from which an entry's responses are checked.
+	// contactTime is the time without a fault from which an entry's responses are checked.
 	contactTime = 3 * time.Second
 )
 
-// disturbsStore holds the kinds of faults that keep entries from the store, or end all of them.
-var disturbsStore = map[string]bool{"kill_all": true, "cut": true, "store": true}
+// disruptsStore holds the kinds of faults that keep entries from the store, or end all of them.
+var disruptsStore = map[string]bool{"kill_all": true, "cut": true, "store": true}
 
-// storeDisturbance tells since when no fault has disturbed the store.
-type storeDisturbance struct {
-	faults int
+// storeFaults tells since when no fault has disrupted the store.
+type storeFaults struct {
+	active int
 	ended  time.Time
 }
 
-// storeFaultBegan records the start of a fault that disturbs the store, storeFaultEnded its end.
+// storeFaultBegan records the start of a fault that disrupts the store, storeFaultEnded its end.
 func (p *dayRun) storeFaultBegan() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.storeDisturbance.faults++
+	p.storeFaults.active++
 }
 
 func (p *dayRun) storeFaultEnded() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.storeDisturbance.faults--
-	p.storeDisturbance.ended = time.Now()
+	p.storeFaults.active--
+	p.storeFaults.ended = time.Now()
 }
 
-// isStoreCalm reports whether no fault has disturbed the store for contactTime.
+// isStoreCalm reports whether no fault has disrupted the store for contactTime.
 func (p *dayRun) isStoreCalm() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.storeDisturbance.faults == 0 && time.Since(p.storeDisturbance.ended) > contactTime
+	return p.storeFaults.active == 0 && time.Since(p.storeFaults.ended) > contactTime
 }
 
 // watchPending queries each undisturbed entry for the number of pending jobs of each queue until the day ends.
--- a/keel/emulator/fleet.go
+++ b/keel/emulator/fleet.go
@@ -56,6 +56,8 @@
 	OrderRate int
 	// Checker records the jobs and checks the product's guarantees.
 	Checker *Checker
+	// Policy issues the tickets without which workers start nothing; nil if they need none.
+	Policy *PolicyService
 
 	mu        sync.Mutex
 	random    *rand.Rand
--- a/keel/emulator/stall.go
+++ b/keel/emulator/stall.go
@@ -268,7 +268,8 @@
 
 // roomFor returns how many tasks of the step the worker has room for, at most the limit.
 func (w *Worker) roomFor(job string, index int, step *work.Step, limit int) int {
-	if step.Label != "" && step.Label != w.instance.rack {
+	policy := w.fleet.Policy
+	if step.Label != "" && step.Label != w.instance.rack || policy != nil && !policy.permits(work.TaskID{Job: job, Step: index}.StepName(), w.id) {
 		return 0
 	}
 	used, sameStep := work.Size{}, 0
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -225,6 +225,8 @@
 		return worker.Reply{Refusal: worker.Superseded}
 	case w.leaseEnd <= w.clock():
 		return worker.Reply{Refusal: worker.Expired}
+	case !w.hasTicket(o):
+		return worker.Reply{Refusal: worker.NoTicket}
 	}
 	w.startRun(o)
 	return worker.Reply{}
--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -59,6 +59,7 @@
 	EndsTruncated
 	RecordShortened
 	EndedRowsRemoved
+	TicketsIssued
 )
 
 var scheduleEvents = []Definition{
@@ -115,6 +116,7 @@
 	{EndsTruncated, "ends_truncated", logrus.WarnLevel, "a worker has more ends than it lists at a time: a run that it lists neither as active nor as ended keeps its task from being started again, until the worker has listed all ends; with the number of ends that aren't stored and of the runs that may be over", []string{"worker", "listed", "not_stored", "runs"}},
 	{RecordShortened, "record_shortened", logrus.WarnLevel, "the row of a job would be larger than the store accepts, so that it leaves out failed and crashed runs, which a next leader won't count; with the number of runs, and of transactions with this row alone that the store has rejected", []string{"job", "bytes", "limit", "omitted", "rejections"}},
 	{EndedRowsRemoved, "ended_rows_removed", logrus.InfoLevel, "the leader removes the rows of jobs in a partition of the submissions that ended longer ago than callers may ask for them; with the number of rows that it has read there", []string{"part", "removed", "rows"}},
+	{TicketsIssued, "tickets_issued", logrus.InfoLevel, "the queue's placement policy has answered which of the workers asked for may run a step; with the tasks that wait, the requests in flight and how many times longer than declared the policy takes of late", []string{"step", "workers", "allowed", "took_ms", "slowdown", "in_flight", "waiting"}},
 	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -38,6 +38,7 @@
 	tenants  tenantMetrics
 	peaks    *prometheus.CounterVec
 	prepared prometheus.Counter
+	policies policyMetrics
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -91,7 +92,8 @@
 	m.prepared = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "samphirekeel_prepared_instances_total", Help: "Instances told to join another pool before an expected peak.",
 	})
-	registry.MustRegister(m.pairs, m.apart, m.peaks, m.prepared, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
+	m.policies = newPolicyMetrics(buckets)
+	registry.MustRegister(m.policies.times, m.policies.workers, m.pairs, m.apart, m.peaks, m.prepared, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
 
@@ -120,6 +122,37 @@
 	}
 }
 
+// policyMetrics are the metrics of requests to placement policies.
+type policyMetrics struct {
+	times   *prometheus.HistogramVec
+	workers *prometheus.CounterVec
+}
+
+func newPolicyMetrics(buckets []float64) policyMetrics {
+	return policyMetrics{
+		times: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "samphirekeel_policy_request_seconds", Help: "Time of a request to a placement policy, by whether it was answered.", Buckets: buckets,
+		}, []string{"result"}),
+		workers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "samphirekeel_policy_workers_total", Help: "Workers in answered requests to placement policies, by whether the policy allowed them.",
+		}, []string{"result"}),
+	}
+}
+
+// addPolicyCall counts a request to a placement policy for a number of workers.
+func (m *Metrics) addPolicyCall(took time.Duration, asked, allowed int, err error) {
+	if m == nil {
+		return
+	}
+	if err != nil {
+		m.policies.times.WithLabelValues("failed").Observe(took.Seconds())
+		return
+	}
+	m.policies.times.WithLabelValues("answered").Observe(took.Seconds())
+	m.policies.workers.WithLabelValues("allowed").Add(float64(allowed))
+	m.policies.workers.WithLabelValues("denied").Add(float64(asked - allowed))
+}
+
 func (m *Metrics) addStart(took time.Duration) {
 	if m != nil {
 		m.starts.Observe(took.Seconds())
--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -32,6 +32,7 @@
 		// Each pass begins with another pool, so that the limit on the starts in flight doesn't favour one.
 		s.planPool(s.pools[names[(i+s.passes)%len(names)]], now)
 	}
+	s.requestTickets(now)
 }
 
 // planner places the tasks of one pool in one pass.
@@ -50,6 +51,8 @@
 	// deferred is the number of examined jobs whose tenant is at its cap.
 	deferred int
 	kept     keptWorkers
+	// ticketWanted is set once the pass has found a step that lacks tickets.
+	ticketWanted bool
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -115,6 +115,7 @@
 	durations  durationModels
 	waves      waveState
 	separation separation
+	policy     policyState
 	outages    outageTracker
 	// unheard holds the workers that may run tasks of earlier epochs and have not yet accepted this epoch, or have not yet
 	// listed all ends.
@@ -190,6 +191,7 @@
 	s.durations.init()
 	s.waves.init()
 	s.separation.init(s)
+	s.policy.init()
 	s.outages.init()
 	s.raiseGuards()
 }
@@ -299,6 +301,7 @@
 	s.Config = c
 	if s.ready {
 		s.configureTenants()
+		s.policy.setQueues(c)
 		s.routeJobs()
 		s.schedulePlan()
 	}
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -38,7 +38,9 @@
 	waitDataCentre   waitCause = "data_centre_not_allowed"
 	waitConstraint   waitCause = "constraint"
 	waitGang         waitCause = "gang"
-	waitOrders       waitCause = "orders_in_flight"
+	// waitTicket means that the queue's placement policy has issued no valid ticket for a worker with room.
+	waitTicket waitCause = "no_ticket"
+	waitOrders waitCause = "orders_in_flight"
 	// waitCrashStored means that a crash under the task isn't stored yet, waitCrashKnown that it isn't known whether the workers
 	// of its runs have crashed, and waitIsolation that it waits for a worker on which it runs apart from others.
 	waitCrashStored waitCause = "crash_not_stored"
@@ -364,6 +366,9 @@
 				return waitNone
 			}
 			cause = waitConstraint
+			if !t.step.tickets.allows(w, pl.now) {
+				cause = waitTicket
+			}
 		}
 		switch {
 		case !room:
