emulator: excuse a late start while the order that voids it is lost

Cause, traced in four plays with the orders printed: the scheduler sends the order to stop the start that an earlier boot didn't answer 1 ms after it has heard the new boot, the emulator itself delays that order, and carries out the late start before the order is repeated. The check holds that the scheduler can prevent this from 150 ms after the boot was heard.

Change: such a start is excused too for 600 ms (timeout and pause of an order) after an order to stop that run at that boot was delayed. A scheduler that sends no such order in time is found as before (TestLateStartAtLaterBoot).

What is left (twice the capacity, a run beside another, an end acknowledged late, one start after an end) isn't traced.

--- a/keel/emulator/restart.go
+++ b/keel/emulator/restart.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"samphirekeel.example/keel/provider"
+	"samphirekeel.example/keel/work"
+	"samphirekeel.example/keel/worker"
 )
 
 // startAgainLocked starts a worker on an instance that was down: under the ID that the last one had if the fleet's workers keep
@@ -88,8 +90,35 @@
 	}
 }
 
+// stopRepeatTime is the time from an order to stop a run that is lost until it has been sent again and carried out: its timeout
+// and the pause before the next one.
+const stopRepeatTime = 600 * time.Millisecond
+
+// lostStop is an order to stop a run that the emulator carries out late.
+type lostStop struct {
+	run int64
+	at  time.Time
+}
+
+// noteLostStop records that an order to stop a run is carried out late.
+func (w *Worker) noteLostStop(o worker.StopOrder) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if w.lostStops == nil {
+		w.lostStops = make(map[work.TaskID]lostStop)
+	}
+	w.lostStops[o.Task] = lostStop{run: o.Run, at: time.Now()}
+}
+
 // startsUnasked reports whether the worker carries out a late order that an earlier boot got, before any scheduler can have told
-// the present one that it is void.
-func (w *Worker) startsUnasked() bool {
-	return w.executesLate && w.laterBoot && (w.heardAt.IsZero() || time.Since(w.heardAt) < unheardTime)
+// the present one that it is void: the worker hasn't been heard for long enough, or the order that tells it was lost.
+func (w *Worker) startsUnasked(o worker.StartOrder) bool {
+	if !w.executesLate || !w.laterBoot {
+		return false
+	}
+	if w.heardAt.IsZero() || time.Since(w.heardAt) < unheardTime {
+		return true
+	}
+	stop, ok := w.lostStops[o.Task]
+	return ok && stop.run >= o.Run && time.Since(stop.at) < stopRepeatTime
 }
--- a/keel/emulator/worker.go
+++ b/keel/emulator/worker.go
@@ -50,6 +50,8 @@
 	// laterBoot is set for a boot under the ID of an earlier one, and heardAt is when it first responded to a renewal.
 	laterBoot bool
 	heardAt   time.Time
+	// lostStops holds, by task, the last order to stop a run that is carried out late.
+	lostStops map[work.TaskID]lostStop
 
 	// highestToken is the highest fencing token that the worker has seen.
 	highestToken int64
@@ -239,7 +241,7 @@
 		return
 	}
 	r := &run{task: o.Task, number: o.Run, step: step, started: time.Now(), total: total, cpuShare: 1}
-	r.unasked = w.startsUnasked()
+	r.unasked = w.startsUnasked(o)
 	r.fails = checker.poisoned(o.Task)
 	if o.Checkpoint != "" {
 		ms, _ := strconv.ParseInt(strings.SplitN(o.Checkpoint, "-", 2)[0], 16, 64)
--- a/keel/emulator/workerclient.go
+++ b/keel/emulator/workerclient.go
@@ -12,13 +12,13 @@
 func (f *Fleet) WorkerClient(caller string) *worker.Client {
 	return &worker.Client{
 		Start: func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
-			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.start(o) })
+			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.start(o) }, nil)
 		},
 		Stop: func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
-			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.stop(o) })
+			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.stop(o) }, func(w *Worker) { w.noteLostStop(o) })
 		},
 		Throttle: func(ctx context.Context, to worker.Target, o worker.ThrottleOrder) (worker.Reply, error) {
-			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.throttle(o) })
+			return sendOrder(ctx, f, caller, to, func(w *Worker) worker.Reply { return w.throttle(o) }, nil)
 		},
 		Renew: func(ctx context.Context, to worker.Target, o worker.RenewOrder) (worker.Status, error) {
 			return f.renew(ctx, caller, to, o)
@@ -51,8 +51,10 @@
 }
 
 // sendOrder sends an order to a worker; a share of the orders (Fleet.lateShare) is carried out late and gets no
-// response.
-func sendOrder(ctx context.Context, f *Fleet, caller string, to worker.Target, handle func(*Worker) worker.Reply) (worker.Reply, error) {
+// response, which lost, if it isn't nil, is told.
+func sendOrder(
+	ctx context.Context, f *Fleet, caller string, to worker.Target, handle func(*Worker) worker.Reply, lost func(*Worker),
+) (worker.Reply, error) {
 	w, err := f.reach(ctx, caller, to)
 	if err != nil {
 		return worker.Reply{}, err
@@ -61,6 +63,9 @@
 		return worker.Reply{Refusal: worker.OtherBoot}, nil
 	}
 	if f.drawLateOrder() {
+		if lost != nil {
+			lost(w)
+		}
 		delay := minLateOrderDelay + time.Duration(f.randomFloat()*float64(maxLateOrderDelay-minLateOrderDelay))
 		time.AfterFunc(delay, func() {
 			f.execute(w, func(w *Worker) worker.Reply {
