schedule: let only a run that a worker has begun end a task's wait

Operators saw nothing of tasks whose orders fail again and again, because their workers are unhealthy, full or silent or have no free connection: tasks_waiting left them out, and workers of last resort, further instances and retries where they failed, which are for tasks that wait for long, never came.

Change: a run that isn't known to have begun leaves the time from which its task waits; in the reports a start that isn't confirmed counts as a wait. lastRunEnd, which nothing read, is gone.

Evidence: TestTasksWaitAcrossFailedOrders failed in all four forms before ("assertion failed: 0 (int) != 2 (int)") and passes.

--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -130,11 +130,10 @@
 	// crashedOn holds the instances whose worker has booted again under the task.
 	crashedOn  map[string]bool
 	checkpoint string
-	// readySince is when the task last became able to start; notBefore is the end of its back-off after a failure.
+	// readySince is when the task last became able to start: an order that failed, or had no effect, doesn't change it. notBefore is
+	// the end of its back-off after a failure.
 	readySince time.Duration
 	notBefore  time.Duration
-	// lastRunEnd is when the task's last run ended.
-	lastRunEnd time.Duration
 }
 
 func (t *task) id() work.TaskID {
@@ -200,8 +199,14 @@
 	return work.Queued
 }
 
-// recordBegun records that a worker has begun a task of the job.
-func (s *Scheduler) recordBegun(j *job) {
+// recordBegun records that the worker has begun the run.
+func (s *Scheduler) recordBegun(r *run) {
+	r.begun = true
+	s.recordJobBegun(r.task.job())
+}
+
+// recordJobBegun records that a worker has begun a task of the job.
+func (s *Scheduler) recordJobBegun(j *job) {
 	if j.begun || !j.open() {
 		return
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -35,6 +35,8 @@
 	ordered time.Duration
 	// confirmedAt is when the worker was first known to have the run, 0 before that.
 	confirmedAt time.Duration
+	// begun is set once the worker is known to have begun the run.
+	begun bool
 	// adopted is set for a run that an earlier leader started.
 	adopted bool
 	// inDoubt is set while it is unknown whether a start order without a response will be carried out.
@@ -166,10 +168,11 @@
 		w.idleSince = now
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
-	t.lastRunEnd = now
 	if t.step.ready && t.needsRun() && t.job().open() {
 		t.step.addWaiting(1)
-		t.readySince = now
+		if r.begun {
+			t.readySince = now
+		}
 	}
 	s.schedulePlan()
 }
@@ -277,7 +280,7 @@
 	case worker.Accepted:
 		r.confirmedAt, r.progressedAt = now, now
 		r.inDoubt = false
-		s.recordBegun(r.task.job())
+		s.recordBegun(r)
 		s.Metrics.addStart(now - r.ordered)
 		s.Log.WriteFunc(event.TaskStarted, func() event.Fields {
 			return event.Fields{
@@ -347,7 +350,7 @@
 	now := s.Now()
 	r := w.runs[live.Task]
 	if r != nil && r.number == live.Run {
-		s.recordBegun(r.task.job())
+		s.recordBegun(r)
 		if r.confirmedAt == 0 || r.inDoubt {
 			r.confirmedAt, r.progressedAt = now, now
 		}
@@ -369,7 +372,7 @@
 	r := s.addRun(t, w, live.Run)
 	now := s.Now()
 	r.confirmedAt, r.progressedAt, r.adopted = now, now, true
-	s.recordBegun(t.job())
+	s.recordBegun(r)
 	s.updateProgress(r, live, now)
 }
 
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -19,6 +19,7 @@
 	pending := pendingEnd{number: end.Number}
 	r := w.runs[end.Task]
 	if r != nil && r.number == end.Run {
+		s.recordBegun(r)
 		s.removeRun(r, string(end.Kind))
 	}
 	switch {
@@ -39,7 +40,7 @@
 func (s *Scheduler) applyOpenJobEnd(w *workerState, t *task, end worker.End, r *run) (*job, uint64) {
 	j := t.job()
 	t.nextRun = max(t.nextRun, end.Run+1)
-	s.recordBegun(j)
+	s.recordJobBegun(j)
 	s.endTrial(t, end.Run)
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
--- a/keel/schedule/wait.go
+++ b/keel/schedule/wait.go
@@ -261,8 +261,8 @@
 			held = wait{cause: waitUnresponsive, since: w.unresponsiveSince, worker: w.ID, until: w.leaseExpiry}
 		case r.awaitingEndSince != 0:
 			held = wait{cause: waitEnd, since: r.awaitingEndSince, worker: w.ID}
-		case r.inDoubt:
-			held = wait{cause: waitInDoubt, since: r.ordered, worker: w.ID}
+		case r.inDoubt || r.confirmedAt == 0:
+			held = wait{cause: waitInDoubt, since: t.readySince, worker: w.ID}
 		case r.stopping:
 			held = wait{cause: waitStopping, since: r.stoppingSince, worker: w.ID}
 		default:
