schedule: learn durations only from runs whose first start order was answered

The leader's estimates were too short after lost responses, and with them its demand, its order of service and its second runs.

Cause: a run's duration was taken from the time at which it was known to be there. Where the response to its start was lost, that is a list, a repeated order or an accepted order to stop, up to a second after its start.

Change: durations are learned from runs whose first start order was accepted, which leaves out adopted runs as before.

--- a/keel/schedule/failed_order_test.go
+++ b/keel/schedule/failed_order_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,26 @@
 		})
 	}
 }
+
+// Guards against estimates that are too short, because the duration of a run whose start was answered late, or never, was taken from
+// the time at which it became known.
+func TestLostAnswersTeachNoDurations(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		for n := range 4 {
+			b.addInstance(fmt.Sprintf("m%d", n))
+		}
+		b.startEpoch(1, "p")
+		time.Sleep(2 * time.Second)
+		b.setStart(b.startsLike("answer_lost"))
+		const took = time.Second
+		for n := range 60 {
+			b.submit(singleStepJob(fmt.Sprintf("%016x", 0xa1+n), "p", 1, took), took)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		b.onLoop(func() {
+			estimate := b.s.durations.estimate("p", &singleStepJob(firstJob, "p", 1, took).Steps[0], b.s.Now())
+			assert.Check(t, estimate > 9*took/10, "estimate %v of tasks that take %v", estimate, took)
+		})
+	})
+}
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -36,7 +36,7 @@
 func (s *Scheduler) recordSuccess(w *workerState, r *run) {
 	w.failures.jobs = nil
 	w.failures.avoidances = 0
-	if r != nil && r.confirmedAt != 0 {
+	if r != nil && r.answered {
 		s.recordDuration(r, s.Now()-r.confirmedAt)
 	}
 }
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -35,8 +35,9 @@
 	ordered time.Duration
 	// confirmedAt is when the worker was first known to have the run, 0 before that.
 	confirmedAt time.Duration
-	// begun is set once the worker is known to have begun the run.
-	begun bool
+	// begun is set once the worker is known to have begun the run, answered if it accepted the first order to start it, so that it
+	// began when it was confirmed.
+	begun, answered bool
 	// adopted is set for a run that an earlier leader started.
 	adopted bool
 	// inDoubt is set while it is unknown whether a start order without a response will be carried out.
@@ -279,7 +280,7 @@
 	switch reply.Refusal {
 	case worker.Accepted:
 		r.confirmedAt, r.progressedAt = now, now
-		r.inDoubt = false
+		r.inDoubt, r.answered = false, r.repeats == 0
 		s.recordBegun(r)
 		s.Metrics.addStart(now - r.ordered)
 		s.Log.WriteFunc(event.TaskStarted, func() event.Fields {
