--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -38,7 +38,7 @@
 	requestedAt time.Duration
 	// denied holds the workers for which the policy issued no ticket, with the boot that it was asked for.
 	denied map[string]denial
-	// shortfalls counts the answers in a row that allowed too few workers.
+	// shortfalls counts the answers in a row without a ticket.
 	shortfalls int
 }
 
