schedule: ask for denied workers sooner if a step has no others

With a policy that denied all workers with room once, a job waited for up to 18.5 s beside free workers.

Cause: lets denied workers rest for 10 s, since a policy doesn't change for a step. If it denied all of them, nothing ended that sooner, although an answer may be wrong of a worker that the service doesn't know yet.

Change: a step of which all workers with room were denied is asked for again after 500 ms, after each further such answer twice as long, up to 8 s; such calls come after those of all other steps.

--- a/keel/schedule/plan.go
+++ b/keel/schedule/plan.go
@@ -53,6 +53,8 @@
 	kept     keptWorkers
 	// ticketWanted is set once the pass has found a step that lacks tickets.
 	ticketWanted bool
+	// deniedWanted is the request for denied workers that is sent if ticketWanted isn't set, without a step if there is none.
+	deniedWanted ticketRequest
 }
 
 func (s *Scheduler) planPool(p *pool, now time.Duration) {
@@ -70,6 +72,7 @@
 		// The jobs that were not reached may need the workers that an earlier pass found missing.
 		pl.missing.merge(p.missing)
 	}
+	pl.finishTickets()
 	p.missing, p.waitingSuspects = pl.missing, pl.suspects
 }
 
--- a/keel/schedule/ticket.go
+++ b/keel/schedule/ticket.go
@@ -24,6 +24,10 @@
 	// deniedTime is how long a worker without a ticket isn't asked for again. A policy doesn't change for a step, but may not have
 	// known a worker that had just booted.
 	deniedTime = 10 * time.Second
+	// A step of which all workers with room were denied is asked for again after minDeniedRetry, after each further such answer
+	// twice as long, up to maxDeniedRetry, and after all other steps.
+	minDeniedRetry = 500 * time.Millisecond
+	maxDeniedRetry = 8 * time.Second
 	// maxWidenings limits how often a step doubles the number of workers that it asks for.
 	maxWidenings = 5
 )
@@ -38,8 +42,9 @@
 	requestedAt time.Duration
 	// denied holds the workers for which the policy issued no ticket, with the boot that it was asked for.
 	denied map[string]denial
-	// shortfalls counts the answers in a row without a ticket.
+	// shortfalls counts the answers in a row without a ticket; denied workers may be asked for again from retryAt on.
 	shortfalls int
+	retryAt    time.Duration
 }
 
 type cachedTicket struct {
@@ -73,6 +78,8 @@
 	step    *stepState
 	tasks   int
 	workers []*workerState
+	// again is set if all of the workers have been denied before.
+	again bool
 }
 
 // setQueues forgets the policies of queues that the configuration lacks.
@@ -157,8 +164,9 @@
 	case room.untried > 0:
 		pl.wantTickets(step, eligible, room)
 	case room.tasks == 0:
-		// No candidate is left that could get a ticket.
+		// No candidate is left that could get a ticket, unless the policy allows one that it has denied.
 		pl.addMissing(step, step.waiting)
+		pl.wantDenied(step, eligible, room)
 	}
 	return room.tasks > 0
 }
@@ -166,9 +174,9 @@
 // ticketRoom is the room for a step on the workers that its constraints permit.
 type ticketRoom struct {
 	// tasks is the number of tasks for which there is room on workers with a ticket, untried the number of workers with room that
-	// have no ticket and weren't denied, and free the free capacity of both.
-	tasks, untried int
-	free           work.Size
+	// have no ticket and weren't denied, free the free capacity of both, and denied the number of denied workers with room.
+	tasks, untried, denied int
+	free                   work.Size
 }
 
 func (pl *planner) ticketRoom(step *stepState, eligible []*workerState) ticketRoom {
@@ -184,6 +192,7 @@
 		case !st.denies(w, pl.now):
 			room.untried++
 		default:
+			room.denied++
 			continue
 		}
 		room.free = room.free.Plus(w.free())
@@ -202,7 +211,23 @@
 		return
 	}
 	pl.ticketWanted = true
-	ps.wanted = append(ps.wanted, pl.newTicketRequest(step, eligible, step.waiting-room.tasks))
+	ps.wanted = append(ps.wanted, pl.newTicketRequest(step, eligible, step.waiting-room.tasks, false))
+}
+
+// wantDenied notes that the step is the first of its pool of which all workers with room were denied a while ago.
+func (pl *planner) wantDenied(step *stepState, eligible []*workerState, room ticketRoom) {
+	st := &step.tickets
+	if pl.deniedWanted.step != nil || room.denied == 0 || pl.now < st.retryAt || !st.mayRequest(pl.now) || !pl.s.policy.calls.MayCall(pl.now) {
+		return
+	}
+	pl.deniedWanted = pl.newTicketRequest(step, eligible, step.waiting, true)
+}
+
+// finishTickets requests tickets for denied workers if no step of the pool has others.
+func (pl *planner) finishTickets() {
+	if !pl.ticketWanted && pl.deniedWanted.step != nil {
+		pl.s.policy.wanted = append(pl.s.policy.wanted, pl.deniedWanted)
+	}
 }
 
 // tasksOn returns how many further tasks of the step fit on the worker, which has room for one.
@@ -215,8 +240,8 @@
 }
 
 // newTicketRequest returns a request for tickets with which the number of tasks could start: for the workers on which they cost
-// least, and as many that the policy most likely allows enough of them.
-func (pl *planner) newTicketRequest(step *stepState, eligible []*workerState, tasks int) ticketRequest {
+// least, and as many that the policy most likely allows enough of them; again is set to ask for denied workers.
+func (pl *planner) newTicketRequest(step *stepState, eligible []*workerState, tasks int, again bool) ticketRequest {
 	st := &step.tickets
 	type option struct {
 		*workerState
@@ -224,7 +249,7 @@
 	}
 	var options []option
 	for _, w := range eligible {
-		if step.permits(w, 1) && w.free().Holds(step.size()) && !st.allows(w, pl.now) && !st.denies(w, pl.now) {
+		if step.permits(w, 1) && w.free().Holds(step.size()) && !st.allows(w, pl.now) && st.denies(w, pl.now) == again {
 			options = append(options, option{w, pl.cost(step, w, w.free(), nil)})
 		}
 	}
@@ -244,20 +269,25 @@
 	limit := min(len(options), maxTicketWorkers)
 	n := pl.s.policy.share(step.occurrence.job.Queue).WorkersFor(need, limit)
 	n = min(limit, n<<min(st.shortfalls, maxWidenings))
-	r := ticketRequest{step: step, tasks: min(tasks, room)}
+	r := ticketRequest{step: step, tasks: min(tasks, room), again: again}
 	for _, o := range options[:n] {
 		r.workers = append(r.workers, o.workerState)
 	}
 	return r
 }
 
-// requestTickets sends the request of the pool that has waited longest for one, of those of the present pass.
+// requestTickets sends the request of the pool that has waited longest for one, of those of the present pass; those for denied
+// workers come last.
 func (s *Scheduler) requestTickets(now time.Duration) {
 	wanted := s.policy.wanted
 	s.policy.wanted = nil
 	if len(wanted) == 0 {
 		return
 	}
+	fresh := slices.DeleteFunc(slices.Clone(wanted), func(r ticketRequest) bool { return r.again })
+	if len(fresh) > 0 {
+		wanted = fresh
+	}
 	r := slices.MinFunc(wanted, func(a, b ticketRequest) int {
 		return cmp.Compare(s.policy.servedAt[a.step.occurrence.job.pool], s.policy.servedAt[b.step.occurrence.job.pool])
 	})
@@ -319,8 +349,10 @@
 	for id, boot := range boots {
 		st.denied[id] = denial{boot: boot, until: now + deniedTime}
 	}
-	st.shortfalls++
 	if len(tickets) > 0 {
-		st.shortfalls = 0
+		st.shortfalls, st.retryAt = 0, 0
+		return
 	}
+	st.retryAt = now + min(maxDeniedRetry, minDeniedRetry<<min(st.shortfalls, maxWidenings))
+	st.shortfalls++
 }
