--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -24,6 +24,7 @@
 	hasEndedBoot     unavailability = "booted_again"
 	hasStartInDoubt  unavailability = "start_in_doubt"
 	isAvoided        unavailability = "avoided"
+	isCordoned       unavailability = "maintenance_due"
 	hasFailures      unavailability = "failures"
 	isReclaimed      unavailability = "reclaimed"
 	hasIsolatedRuns  unavailability = "isolated_runs"
@@ -100,6 +101,8 @@
 		return hasStartInDoubt
 	case now < w.avoidUntil:
 		return isAvoided
+	case now < w.cordonedUntil:
+		return isCordoned
 	}
 	return ""
 }
--- a/keel/schedule/cordon.go
+++ b/keel/schedule/cordon.go
@@ -18,7 +18,7 @@
 		}
 		w.cordoned[id] = true
 		evicting++
-		s.avoid(worker, "its maintenance is due", cordonTime)
+		s.extendAvoidance(worker, &worker.cordonedUntil, "its maintenance is due", cordonTime)
 		s.evictLongRunning(worker)
 	}
 }
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -63,8 +63,10 @@
 	removed bool
 	// unresponsiveSince is when the worker stopped responding, 0 while it responds.
 	unresponsiveSince time.Duration
-	// avoidUntil is the time until which the worker gets no tasks, because it rejected one or its maintenance is due.
+	// avoidUntil is the time until which the worker gets no tasks, because it rejected one.
 	avoidUntil time.Duration
+	// cordonedUntil is the time until which the worker gets no tasks, so that it becomes idle for its maintenance.
+	cordonedUntil time.Duration
 	// failingUntil is the time until which the worker gets no tasks, because they fail or stall on it, failingSince the
 	// beginning of that.
 	failingSince, failingUntil time.Duration
