--- a/keel/schedule/availability.go
+++ b/keel/schedule/availability.go
@@ -99,6 +99,13 @@
 		return hasEndedBoot
 	case w.startUnsettled:
 		return hasStartInDoubt
+	}
+	return w.avoidance(now)
+}
+
+// avoidance returns why new tasks are kept off a worker that could get some, empty if they aren't.
+func (w *workerState) avoidance(now time.Duration) unavailability {
+	switch {
 	case now < w.avoidUntil:
 		return isAvoided
 	case now < w.cordonedUntil:
