schedule: keep no tasks off instances that can't be freed for maintenance

Cause: the cordon was never asked whether it could end. A long-running job with a disruption budget of 1 had one task without room, so that none of its other tasks could be stopped; neither waiting jobs nor the wave's deadline nor a new leader ended the cordon, and the instances behind the blocked ones in the wave's order were not emptied either.

Change: an instance is blocked while the disruption budget of a long-running task on it is used up by tasks that aren't about to serve again, or has kept the eviction waiting for longer than a stopped task needs to serve again (maintenance time and 4 s). A blocked instance gets tasks, none of its tasks is stopped, and the next instances take its place. It is due again as soon as the budget allows to stop the task. maintenance_blocked, maintenance_unblocked and samphirekeel_blocked_maintenance_instances tell the operator.

No state is stored: a new leader takes tasks without a run, which it has not seen serve, for such that don't come back.

TestWavesThatCantBeDone failed before in 6 of 11 cases (small jobs waited for 20 to 38 s, 3 s allowed); the other five guard maintenance in time beside blocked instances.

--- a/keel/event/schedule.go
+++ b/keel/event/schedule.go
@@ -60,6 +60,8 @@
 	RecordShortened
 	EndedRowsRemoved
 	TicketsIssued
+	MaintenanceBlocked
+	MaintenanceUnblocked
 )
 
 var scheduleEvents = []Definition{
@@ -117,6 +119,8 @@
 	{RecordShortened, "record_shortened", logrus.WarnLevel, "the row of a job would be larger than the store accepts, so that it leaves out failed and crashed runs, which a next leader won't count; with the number of runs, and of transactions with this row alone that the store has rejected", []string{"job", "bytes", "limit", "omitted", "rejections"}},
 	{EndedRowsRemoved, "ended_rows_removed", logrus.InfoLevel, "the leader removes the rows of jobs in a partition of the submissions that ended longer ago than callers may ask for them; with the number of rows that it has read there", []string{"part", "removed", "rows"}},
 	{TicketsIssued, "tickets_issued", logrus.InfoLevel, "the queue's placement policy has answered which of the workers asked for may run a step; with the tasks that wait, the requests in flight and how many times longer than declared the policy takes of late", []string{"step", "workers", "allowed", "took_ms", "slowdown", "in_flight", "waiting"}},
+	{MaintenanceBlocked, "maintenance_blocked", logrus.WarnLevel, "an instance of a wave can't become idle, as the disruption budget doesn't allow to stop a long-running task on it; meanwhile it gets tasks as usual. With the budget, the step's other tasks that are unavailable, the one that has been so for longest, and for how long", []string{"wave", "instance", "worker", "task", "budget", "unavailable", "longest", "unavailable_ms"}},
+	{MaintenanceUnblocked, "maintenance_unblocked", logrus.InfoLevel, "an instance of a wave whose maintenance was blocked can become idle again, or is gone", []string{"wave", "instance", "blocked_ms"}},
 	{WorkerReserved, "worker_reserved", logrus.InfoLevel, "a worker gets no other tasks until it is empty, so that a suspected task can run there", []string{"worker", "task", "runs"}},
 	{ReadinessChanged, "readiness_changed", logrus.InfoLevel, "the entry starts or stops accepting callers", []string{"ready", "store_age_ms", "config"}},
 }
--- a/keel/schedule/cordon.go
+++ b/keel/schedule/cordon.go
@@ -4,15 +4,21 @@
 
 // cordon keeps new tasks off some of the pending instances, so that they become idle, and evicts their long-running
 // tasks. It selects up to concurrency instances with long-running tasks, because these leave one by one and take long.
-// If the wave is behind schedule, it also selects the first MaxConcurrent pending instances.
+// If the wave is behind schedule, it also selects the first MaxConcurrent pending instances. It leaves out blocked
+// instances: without new tasks these would not become idle either.
 func (s *Scheduler) cordon(w *wave, pending []string, concurrency int, behind bool) {
-	evicting := 0
-	for n, id := range pending {
+	evicting, ahead := 0, 0
+	for _, id := range pending {
+		if w.blocked[id] != nil {
+			delete(w.cordoned, id)
+			continue
+		}
+		ahead++
 		worker := s.workerOf[id]
 		if worker == nil || worker.removed {
 			continue
 		}
-		selected := w.cordoned[id] || evicting < concurrency && worker.hasLongRunningTask() || behind && n < w.MaxConcurrent
+		selected := w.cordoned[id] || evicting < concurrency && worker.hasLongRunningTask() || behind && ahead <= w.MaxConcurrent
 		if !selected {
 			continue
 		}
@@ -47,27 +53,41 @@
 
 // evictLongRunning stops the worker's long-running tasks as far as their disruption budgets allow.
 func (s *Scheduler) evictLongRunning(worker *workerState) {
+	now := s.Now()
 	for _, r := range sortedRuns(worker.runs) {
-		if r.task.step.spec.LongRunning && !r.stopping && r.mayDisrupt() {
+		if !r.task.step.spec.LongRunning || r.stopping {
+			continue
+		}
+		if r.mayDisrupt() {
 			r.voluntary = true
 			s.stop(r, "its instance is due for maintenance")
+			continue
+		}
+		if r.evictionDueSince == 0 {
+			r.evictionDueSince = now
 		}
 	}
 }
 
 // mayDisrupt reports whether the step's disruption budget allows this run to be stopped.
 func (r *run) mayDisrupt() bool {
+	return r.othersMayStayAway(func(t *task) bool { return !t.isServing() })
+}
+
+// othersMayStayAway reports whether the step's disruption budget allows this run to be stopped while all other tasks of the
+// step for which away is true are unavailable.
+func (r *run) othersMayStayAway(away func(*task) bool) bool {
 	step := r.task.step
 	if !step.spec.HasDisruptionBudget {
 		return true
 	}
-	notServing := 0
+	n := 0
 	for _, t := range step.tasks {
-		if t != r.task && !t.isServing() {
-			notServing++
+		if t != r.task && away(t) {
+			n++
 		}
 	}
-	return notServing < step.spec.DisruptionBudget
+	return n < step.spec.DisruptionBudget
 }
 
 // isServing reports whether a responsive worker has listed a run of this long-running task as fully started.
--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -106,6 +106,7 @@
 		for id, r := range w.runs {
 			r.checkSpeculation(now)
 			s.checkSurvival(r)
+			r.recordServing(now)
 			if r.isStalled() {
 				stalled[id] = r
 			}
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -134,6 +134,8 @@
 	// the end of its back-off after a failure.
 	readySince time.Duration
 	notBefore  time.Duration
+	// servingAt is when the long-running task was last known to serve, 0 if this leader hasn't seen it serve.
+	servingAt time.Duration
 }
 
 func (t *task) id() work.TaskID {
--- a/keel/schedule/metrics.go
+++ b/keel/schedule/metrics.go
@@ -39,6 +39,7 @@
 	peaks    *prometheus.CounterVec
 	prepared prometheus.Counter
 	policies policyMetrics
+	blocked  prometheus.Gauge
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -85,6 +86,9 @@
 	m.apart = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirekeel_separated_starts_total", Help: "Started tasks whose image forms an interfering pair, by whether the other image ran on their worker (beside) or not (apart).",
 	}, []string{"placed"})
+	m.blocked = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "samphirekeel_blocked_maintenance_instances", Help: "Instances of waves that can't become idle for their maintenance.",
+	})
 	m.tenants = newTenantMetrics(registry)
 	m.peaks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "samphirekeel_demand_peaks_total", Help: "Peaks of a pool's demand that began or ended, and expected ones that did not begin.",
@@ -93,7 +97,7 @@
 		Name: "samphirekeel_prepared_instances_total", Help: "Instances told to join another pool before an expected peak.",
 	})
 	m.policies = newPolicyMetrics(buckets)
-	registry.MustRegister(m.policies.times, m.policies.workers, m.pairs, m.apart, m.peaks, m.prepared, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
+	registry.MustRegister(m.blocked, m.policies.times, m.policies.workers, m.pairs, m.apart, m.peaks, m.prepared, m.crashes, m.starts, m.renewals, m.commits, m.outcomes, m.ages, m.moves, m.waiting, m.waits, m.passes, m.delays)
 	return m
 }
 
@@ -211,6 +215,12 @@
 	}
 }
 
+func (m *Metrics) setBlocked(instances int) {
+	if m != nil {
+		m.blocked.Set(float64(instances))
+	}
+}
+
 func (m *Metrics) setPairs(n int) {
 	if m != nil {
 		m.pairs.Set(float64(n))
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -78,6 +78,9 @@
 	awaitingEndSince time.Duration
 	// voluntary is set if the scheduler stopped the run although it was healthy.
 	voluntary bool
+	// evictionDueSince is since when the disruption budget has not allowed to stop the run for a maintenance, 0 if it isn't due or
+	// the budget allows it.
+	evictionDueSince time.Duration
 }
 
 // stopAcceptedInDoubt reports whether the worker has accepted a stop of the run and it isn't known whether the run had
--- a/keel/schedule/scheduler.go
+++ b/keel/schedule/scheduler.go
@@ -200,6 +200,7 @@
 func (s *Scheduler) End() {
 	s.cancel()
 	s.Metrics.setWaits(nil, s.Now())
+	s.Metrics.setBlocked(0)
 }
 
 // Ready reports whether the ledger has been loaded.
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -49,7 +49,9 @@
 	// ordering holds the instances with a maintenance order in flight.
 	ordering map[string]bool
 	// cordoned holds the instances that get no new tasks until their maintenance starts.
-	cordoned  map[string]bool
+	cordoned map[string]bool
+	// blocked holds the pending instances that can't become idle for their maintenance, with the reason.
+	blocked   map[string]*blockage
 	reported  bool
 	completed bool
 }
@@ -69,7 +71,7 @@
 		}
 		w := &wave{
 			Wave: requested, progress: s.waves.progress[requested.Number], seenAt: s.Now(), down: make(map[string]time.Duration),
-			ordering: make(map[string]bool), cordoned: make(map[string]bool),
+			ordering: make(map[string]bool), cordoned: make(map[string]bool), blocked: make(map[string]*blockage),
 		}
 		if w.progress.FirstSeenMillis == 0 {
 			w.progress.FirstSeenMillis = s.Wall().Milliseconds()
@@ -100,6 +102,7 @@
 			s.advanceWave(w, now)
 		}
 	}
+	s.Metrics.setBlocked(s.waves.blockedInstances())
 }
 
 func (s *Scheduler) sortedWaves() []*wave {
@@ -135,6 +138,7 @@
 		// Workers get tasks until the list shows whether their maintenance can start.
 		return
 	}
+	s.updateBlocked(w, pending, now)
 	behind := s.behindSchedule(w, len(pending), now)
 	concurrency := s.evictionConcurrency(w, pending, now)
 	if s.fleet.scarce && !behind && concurrency <= minEvictionConcurrency {
