schedule: keep tasks on instances whose tasks end after a wave's deadline

Callers would see small jobs wait for up to 48 s in a pool that is mostly free.

Cause: a wave that is behind schedule keeps all tasks off its next instances, also where a task on them ends long after the deadline, so that the wave is late in any case.

After the deadline one such instance at a time is cordoned, and gives way if tasks lack a worker while half of the pool is free.

--- a/keel/schedule/cordon.go
+++ b/keel/schedule/cordon.go
@@ -71,23 +71,17 @@
 
 // mayDisrupt reports whether the step's disruption budget allows this run to be stopped.
 func (r *run) mayDisrupt() bool {
-	return r.othersMayStayAway(func(t *task) bool { return !t.isServing() })
-}
-
-// othersMayStayAway reports whether the step's disruption budget allows this run to be stopped while all other tasks of the
-// step for which away is true are unavailable.
-func (r *run) othersMayStayAway(away func(*task) bool) bool {
 	step := r.task.step
 	if !step.spec.HasDisruptionBudget {
 		return true
 	}
-	n := 0
+	notServing := 0
 	for _, t := range step.tasks {
-		if t != r.task && away(t) {
-			n++
+		if t != r.task && !t.isServing() {
+			notServing++
 		}
 	}
-	return n < step.spec.DisruptionBudget
+	return notServing < step.spec.DisruptionBudget
 }
 
 // isServing reports whether a responsive worker has listed a run of this long-running task as fully started.
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -94,15 +94,18 @@
 	for _, r := range runs {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *run) int {
-		if a.ordered != b.ordered {
-			return int(a.ordered - b.ordered)
-		}
-		return a.task.index - b.task.index
-	})
+	slices.SortFunc(all, compareRuns)
 	return all
 }
 
+// compareRuns orders runs by the time at which they were ordered.
+func compareRuns(a, b *run) int {
+	if a.ordered != b.ordered {
+		return int(a.ordered - b.ordered)
+	}
+	return a.task.index - b.task.index
+}
+
 // size returns the capacity that a task of the step reserves; best-effort tasks reserve no processor time.
 func (st *stepState) size() work.Size {
 	size := st.spec.Size
--- a/keel/schedule/wave.go
+++ b/keel/schedule/wave.go
@@ -51,7 +51,10 @@
 	// cordoned holds the instances that get no new tasks until their maintenance starts.
 	cordoned map[string]bool
 	// blocked holds the pending instances that can't become idle for their maintenance, with the reason.
-	blocked   map[string]*blockage
+	blocked map[string]*blockage
+	// late is the instance that is to become idle, from lateFrom on, although its tasks end after the wave's deadline.
+	late      string
+	lateFrom  time.Duration
 	reported  bool
 	completed bool
 }
--- a/keel/schedule/wave_blocked_test.go
+++ b/keel/schedule/wave_blocked_test.go
@@ -14,13 +14,17 @@
 	"samphirekeel.example/keel/work"
 )
 
-// waveCase is a case of testdata/waves/cases.json: waves for some of the instances of two racks of waveCaseRack instances each,
-// on which long-running jobs run. Small jobs arrive meanwhile.
+// waveCase is a case of testdata/waves/cases.json: waves for some of the instances of two racks, on which long-running jobs run.
+// Small jobs arrive meanwhile.
 type waveCase struct {
-	Description string         `json:"why"`
-	Name        string         `json:"name"`
-	LongRunning []waveCaseJob  `json:"long_running"`
-	Waves       []waveCaseWave `json:"waves"`
+	Description string `json:"why"`
+	Name        string `json:"name"`
+	// RackSize is the number of instances in a rack, 0 for waveCaseRack.
+	RackSize    int           `json:"rack_size"`
+	LongRunning []waveCaseJob `json:"long_running"`
+	// Tasks holds jobs like long-running ones whose tasks end.
+	Tasks []waveCaseTasks `json:"tasks"`
+	Waves []waveCaseWave  `json:"waves"`
 	// Delay is the time from the beginning of the events and of the small jobs to that of the waves.
 	Delay  duration    `json:"delay"`
 	Events []waveEvent `json:"events"`
@@ -44,6 +48,16 @@
 	MilliCores int64 `json:"milli_cores"`
 }
 
+// waveCaseTasks is a series of jobs of one step, submitted from the beginning on, by default a single one.
+type waveCaseTasks struct {
+	waveCaseJob
+	Takes duration `json:"takes"`
+	// Estimate is the caller's estimate, 0 for the real duration.
+	Estimate duration `json:"estimate"`
+	Jobs     int      `json:"jobs"`
+	Every    duration `json:"every"`
+}
+
 // waveCaseWave is a wave for all instances of some racks.
 type waveCaseWave struct {
 	Racks   []string `json:"racks"`
@@ -93,7 +107,7 @@
 
 func (b *testbed) playWaveCase(c waveCase) {
 	for _, rack := range []string{"r0", "r1"} {
-		for i := range waveCaseRack {
+		for i := range cmp.Or(c.RackSize, waveCaseRack) {
 			b.fleet.Add(fmt.Sprintf("%s-%d", rack, i), "p", "a", rack, work.Size{MilliCores: 16000, MemoryMB: 32768})
 		}
 	}
@@ -102,6 +116,9 @@
 	for i, j := range c.LongRunning {
 		b.submit(j.job(i), 0)
 	}
+	for i, tasks := range c.Tasks {
+		go b.submitSeries(i, tasks)
+	}
 	time.Sleep(3 * time.Second)
 	var waves []provider.Wave
 	time.AfterFunc(time.Duration(c.Delay), func() { waves = b.startWaves(c.Waves) })
@@ -147,6 +164,18 @@
 	return job
 }
 
+// submitSeries submits the jobs of the series with the number.
+func (b *testbed) submitSeries(number int, series waveCaseTasks) {
+	for n := range max(1, series.Jobs) {
+		job := series.job(0)
+		job.ID = fmt.Sprintf("%016x", 0xc000+0x100*number+n)
+		job.Steps[0].LongRunning = false
+		job.Steps[0].Estimate = time.Duration(cmp.Or(series.Estimate, series.Takes))
+		b.submit(job, time.Duration(series.Takes))
+		time.Sleep(time.Duration(series.Every))
+	}
+}
+
 // startWaves starts the waves, numbered from 1 on.
 func (b *testbed) startWaves(cases []waveCaseWave) []provider.Wave {
 	var waves []provider.Wave
