schedule: free no more instances of a wave than may be down at once

Callers would see long-running tasks without a run for over 9 s and small jobs that wait for 15 s, while instances are idle.

Cause: the number of instances whose long-running tasks are evicted at the same time follows the number left and the time left. Shortly before a wave's deadline and after it that is all of them, whatever the operator's limit on those that are down.

Evidence: the case one_down_at_a_time on: 15.2 s for a small job, and the emulator finds four long-running tasks that have had no run for 9.0 s although their pool has room.

Change: at most as many instances are cordoned as may be down at once, beside those that are down, for long-running tasks too.

Why this works: an instance beyond that can't be maintained before one of the others has returned, in which time the next one becomes idle.

Measured: the case passes, no small job waits for more than 0.1 s and all eight instances are maintained; make lint and the tests of waves pass.

--- a/keel/schedule/cordon.go
+++ b/keel/schedule/cordon.go
@@ -3,27 +3,35 @@
 import "time"
 
 // cordon keeps new tasks off some of the pending instances, so that they become idle, and evicts their long-running
-// tasks. It selects up to concurrency instances with long-running tasks, because these leave one by one and take long.
-// If the wave is behind schedule, it also selects the first MaxConcurrent pending instances. It leaves out blocked
-// instances: without new tasks these would not become idle either.
+// tasks. It selects up to concurrency instances with long-running tasks, because these leave one by one and take long, or any
+// if the wave is behind schedule; no more than MaxConcurrent, as others would be idle while these are down. It leaves out
+// blocked instances: without new tasks these would not become idle either.
 func (s *Scheduler) cordon(w *wave, pending []string, concurrency int, behind bool) {
-	evicting, ahead := 0, 0
+	mayCordon := func(id string) bool {
+		worker := s.workerOf[id]
+		return w.blocked[id] == nil && worker != nil && !worker.removed
+	}
+	cordoned := 0
 	for _, id := range pending {
-		if w.blocked[id] != nil {
+		if !mayCordon(id) {
 			delete(w.cordoned, id)
-			continue
 		}
-		ahead++
-		worker := s.workerOf[id]
-		if worker == nil || worker.removed {
-			continue
+		if w.cordoned[id] {
+			cordoned++
 		}
-		selected := w.cordoned[id] || evicting < concurrency && worker.hasLongRunningTask() || behind && ahead <= w.MaxConcurrent
-		if !selected {
+	}
+	for _, id := range pending {
+		if !mayCordon(id) {
 			continue
 		}
-		w.cordoned[id] = true
-		evicting++
+		worker := s.workerOf[id]
+		if !w.cordoned[id] {
+			if cordoned >= w.MaxConcurrent || !behind && (cordoned >= concurrency || !worker.hasLongRunningTask()) {
+				continue
+			}
+			w.cordoned[id] = true
+			cordoned++
+		}
 		s.extendAvoidance(worker, &worker.cordonedUntil, "its maintenance is due", cordonTime)
 		s.evictLongRunning(worker)
 	}
