--- a/keel/schedule/blocked.go
+++ b/keel/schedule/blocked.go
@@ -51,7 +51,7 @@
 			b.since = known.since
 		}
 		if known == nil || known.task != b.task {
-			s.logBlocked(w, id, now)
+			f.log(w, id, b)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(before)) {
@@ -83,25 +83,6 @@
 	delete(w.blocked, w.late)
 }
 
-func (s *Scheduler) logBlocked(w *wave, instance string, now time.Duration) {
-	t, reason := w.blocked[instance].task, w.blocked[instance].reason
-	unavailable, longest, since := 0, "", now
-	for _, other := range t.step.tasks {
-		if other == t || other.isServing() {
-			continue
-		}
-		unavailable++
-		servedAt := cmp.Or(other.servingAt, other.readySince)
-		if servedAt < since {
-			longest, since = other.id().String(), servedAt
-		}
-	}
-	s.Log.Write(event.MaintenanceBlocked, event.Fields{
-		"wave": w.Number, "instance": instance, "worker": s.workerOf[instance].ID, "reason": string(reason), "task": t.id().String(),
-		"budget": t.step.spec.DisruptionBudget, "unavailable": unavailable, "longest": longest, "unavailable_ms": (now - since).Milliseconds(),
-	})
-}
-
 // blockedInstances returns the number of blocked instances of all waves.
 func (w *waveState) blockedInstances() int {
 	n := 0
@@ -123,8 +104,26 @@
 	steps map[*stepState]unavailableTasks
 }
 
-// unavailableTasks counts the tasks of a long-running step that don't serve, and those of them that aren't about to.
-type unavailableTasks struct{ all, lasting int }
+// unavailableTasks counts the tasks of a long-running step that don't serve, and those of them that aren't about to. It has
+// the task that has not served for longest, and since when.
+type unavailableTasks struct {
+	all, lasting int
+	longest      *task
+	since        time.Duration
+}
+
+func (f *blockageFinder) log(w *wave, instance string, b *blockage) {
+	fields := event.Fields{
+		"wave": w.Number, "instance": instance, "worker": f.s.workerOf[instance].ID, "reason": string(b.reason), "task": b.task.id().String(),
+		"budget": b.task.step.spec.DisruptionBudget, "unavailable": 0, "longest": "", "unavailable_ms": 0,
+	}
+	others := f.unavailableOthers(b.task)
+	if b.reason == overBudget && others.all > 0 {
+		fields["unavailable"], fields["longest"] = others.all, others.longest.id().String()
+		fields["unavailable_ms"] = (f.now - others.since).Milliseconds()
+	}
+	f.s.Log.Write(event.MaintenanceBlocked, fields)
+}
 
 // find returns what keeps the worker from becoming idle, nil if nothing does: a budget rather than the time that a task takes.
 func (f *blockageFinder) find(w *workerState) *blockage {
@@ -187,6 +186,10 @@
 	if !f.s.mayServeSoon(t, f.now) {
 		u.lasting += n
 	}
+	since := cmp.Or(t.servingAt, t.readySince)
+	if u.longest == nil || since < u.since {
+		u.longest, u.since = t, since
+	}
 }
 
 // timeToEnd estimates the time until a run that isn't long-running ends. A run that takes longer than estimated is expected to
