schedule: reclaim no worker whose runs take much longer than estimated

Callers would see a long-running task without a run for as long as another pool has traffic, although that pool has instances to spare.

Cause: a run that takes longer than estimated was expected to end at once. The worker with the least load was reclaimed again and again, never became idle, and counted as on its way, so that no other one was reclaimed.

Change: nothing is known of the end of a run that takes over twice its estimate and 0.3 s, which is when a speculative run starts too.

--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -16,9 +16,9 @@
 	avoidInitial = 2500 * time.Millisecond
 	// avoidMax is the maximum duration for which a failing worker is avoided.
 	avoidMax = 20 * time.Second
-	// A run gets a speculative second run after speculationFactor times its estimate plus speculationMargin.
-	speculationFactor = 2
-	speculationMargin = 300 * time.Millisecond
+	// A run takes much longer than estimated from overdueFactor times its estimate plus overdueMargin on.
+	overdueFactor = 2
+	overdueMargin = 300 * time.Millisecond
 	// stallTimeout is how long a run may make no progress before its worker is considered hung. A healthy worker lists
 	// progress at each renewal.
 	stallTimeout = 900 * time.Millisecond
@@ -161,7 +161,12 @@
 	if r.worker.unresponsiveSince != 0 {
 		return r.survived() >= startCrashTime || !r.worker.mayHaveCrashed()
 	}
-	return r.confirmedAt != 0 && r.speedPercent == fullSpeedPercent && now-r.confirmedAt > speculationFactor*t.step.estimate+speculationMargin
+	return r.speedPercent == fullSpeedPercent && r.isOverdue(now)
+}
+
+// isOverdue reports whether the run takes much longer than estimated.
+func (r *run) isOverdue(now time.Duration) bool {
+	return r.confirmedAt != 0 && now-r.confirmedAt > overdueFactor*r.task.step.estimate+overdueMargin
 }
 
 // checkSpeculation marks the run's job if the task needs a speculative run.
--- a/keel/schedule/reclaim.go
+++ b/keel/schedule/reclaim.go
@@ -117,9 +117,9 @@
 	return slack > 2*s.interruption() || slack < -s.interruption()
 }
 
-// remainingTime estimates the time until the run ends.
+// remainingTime estimates the time until the run ends. Nothing is known of one that takes much longer than estimated.
 func (s *Scheduler) remainingTime(r *run, now time.Duration) time.Duration {
-	if r.task.step.spec.LongRunning || r.confirmedAt == 0 {
+	if r.task.step.spec.LongRunning || r.confirmedAt == 0 || r.isOverdue(now) {
 		return time.Hour
 	}
 	return max(0, r.task.step.estimate-(now-r.confirmedAt))
