schedule: set the testbed's scheduler on the control loop

Cause: the race detector reports two unsynchronised accesses of the tests of waves: events at the time of the wave read the list of waves while it was set, and a new leader was set while the watcher of the backlogs read it on the loop (an older line, seen in TestWaveResumesAfterLeaderChange too).

Change: the waves of a case are made before its events, and the testbed sets the scheduler on the loop. What the tests check is the same.

Measured: go test -race ./keel/schedule -run 'Wave|Reclaim' passes, it failed in two tests before; make lint passes.

--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -163,7 +163,7 @@
 	if log == nil {
 		log = event.New(io.Discard, true)
 	}
-	b.s = &Scheduler{
+	s := &Scheduler{
 		Loop: b.loop, Log: log, Store: store, Workers: workers, Provider: b.recordingProvider(),
 		Bounds: deployment.Bounds{
 			LeaseMax: 10 * time.Second, StopTime: 200 * time.Millisecond, MoveTime: 1500 * time.Millisecond,
@@ -179,7 +179,10 @@
 			WaveStatus: func(int64, bool) table.Write { return table.Write{Key: table.Key{Table: "status", Name: "wave"}} },
 		},
 	}
-	b.onLoop(b.s.Begin)
+	b.onLoop(func() {
+		b.s = s
+		s.Begin()
+	})
 }
 
 // replacedCall returns the function that replaces a call, or nil if none does.
--- a/keel/schedule/wave_blocked_test.go
+++ b/keel/schedule/wave_blocked_test.go
@@ -120,8 +120,8 @@
 		go b.submitSeries(i, tasks)
 	}
 	time.Sleep(3 * time.Second)
-	var waves []provider.Wave
-	time.AfterFunc(time.Duration(c.Delay), func() { waves = b.startWaves(c.Waves) })
+	waves := b.newWaves(c.Waves)
+	time.AfterFunc(time.Duration(c.Delay), func() { b.onLoop(func() { b.s.SetWaves(waves) }) })
 	for _, e := range c.Events {
 		time.AfterFunc(time.Duration(e.At), func() { b.applyWaveEvent(e, waves) })
 	}
@@ -176,8 +176,8 @@
 	}
 }
 
-// startWaves starts the waves, numbered from 1 on.
-func (b *testbed) startWaves(cases []waveCaseWave) []provider.Wave {
+// newWaves returns the waves, numbered from 1 on.
+func (b *testbed) newWaves(cases []waveCaseWave) []provider.Wave {
 	var waves []provider.Wave
 	for i, c := range cases {
 		wave := provider.Wave{Number: int64(i + 1), DeadlineSeconds: c.Seconds, MaxConcurrent: c.AtOnce}
@@ -187,7 +187,6 @@
 		b.checker.AddWave(wave)
 		waves = append(waves, wave)
 	}
-	b.onLoop(func() { b.s.SetWaves(waves) })
 	return waves
 }
 
