--- a/keel/schedule/crash_test.go
+++ b/keel/schedule/crash_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -56,11 +54,7 @@
 
 // Guards against a task that crashes worker after worker and is started without a bound, with all that runs beside it.
 func TestTaskThatCrashesItsWorkers(t *testing.T) {
-	data, err := os.ReadFile("testdata/crashes/cases.json")
-	assert.NilError(t, err)
-	var cases []crashCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range readCases[crashCase](t, "testdata/crashes/cases.json") {
 		t.Run(c.Name, func(t *testing.T) { withTestbed(t, func(b *testbed) { c.play(b) }) })
 	}
 }
--- a/keel/schedule/pending_test.go
+++ b/keel/schedule/pending_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -71,11 +69,7 @@
 // Guards against jobs that are shown as running, and are missing from the pending ones, because an order to start one of their
 // tasks was sent: the order may have been lost or rejected. The next leader and the stored rows have to show the same.
 func TestOnlyBegunJobsCountAsStarted(t *testing.T) {
-	data, err := os.ReadFile("testdata/pending/cases.json")
-	assert.NilError(t, err)
-	var cases []pendingCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range readCases[pendingCase](t, "testdata/pending/cases.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			withTestbed(t, func(b *testbed) { b.playPendingCase(c) })
 		})
--- a/keel/schedule/testbed_test.go
+++ b/keel/schedule/testbed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -185,6 +187,15 @@
 	})
 }
 
+// readCases returns the cases of a file.
+func readCases[T any](t *testing.T, path string) []T {
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	var cases []T
+	assert.NilError(t, json.Unmarshal(data, &cases))
+	return cases
+}
+
 // replacedCall returns the function that replaces a call, or nil if none does.
 func replacedCall[F any](b *testbed, call *F) F {
 	b.mu.Lock()
--- a/keel/schedule/wave_blocked_test.go
+++ b/keel/schedule/wave_blocked_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -94,11 +92,7 @@
 // Guards against jobs that are never started because a wave keeps all tasks off instances that can't be freed for their
 // maintenance, and against such instances keeping others from their maintenance.
 func TestWavesThatCantBeDone(t *testing.T) {
-	data, err := os.ReadFile("testdata/waves/cases.json")
-	assert.NilError(t, err)
-	var cases []waveCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range readCases[waveCase](t, "testdata/waves/cases.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			withTestbed(t, func(b *testbed) { b.playWaveCase(c) })
 		})
