--- a/entry/site/day_test.go
+++ b/entry/site/day_test.go
@@ -296,7 +296,7 @@
 	return job, taskTimes, p.random.Float64() < tr.PoisonShare
 }
 
-// runCaller acts as a caller: it submits a job, polls its state and may cancel it.
+// runCaller acts as a caller: it submits a job, polls its state, also at the end of its objective, and may cancel it.
 func (p *dayRun) runCaller(job *work.Job, dataCentre string, cancelled bool, seed uint64, began time.Time) {
 	sent := time.Now()
 	if p.day.isFaultFree(sent.Sub(began)) && !job.LongRunning() && !p.checker.IsDeadly(job.ID) {
@@ -314,8 +314,13 @@
 		p.checker.CancelRequested(job.ID)
 		p.cancelJob(job.ID, seed, end)
 	}
+	due := sent.Add(objective(job))
 	for time.Now().Before(end) {
-		time.Sleep(250 * time.Millisecond)
+		wait := 250 * time.Millisecond
+		if untilDue := time.Until(due); untilDue > 0 {
+			wait = min(wait, untilDue)
+		}
+		time.Sleep(wait)
 		state, known := p.queryState(job.ID, seed)
 		if !known {
 			continue
@@ -327,18 +332,23 @@
 	}
 }
 
-// recordInTime records whether a job submitted in fault-free times ended within its objective.
-func (p *dayRun) recordInTime(job *work.Job, sent, began time.Time) {
+// objective returns the time that a job may take from its submission.
+func objective(job *work.Job) time.Duration {
 	criticalPath := time.Duration(0)
 	for i := range job.Steps {
 		criticalPath += job.Steps[i].Estimate
 	}
+	return 600*time.Millisecond + criticalPath*16/10
+}
+
+// recordInTime records whether a job submitted in fault-free times ended within its objective.
+func (p *dayRun) recordInTime(job *work.Job, sent, began time.Time) {
 	if !p.day.isFaultFree(sent.Sub(began)) || p.checker.IsDeadly(job.ID) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(sent) <= 600*time.Millisecond+criticalPath*16/10 {
+	if time.Since(sent) <= objective(job) {
 		p.inTime++
 	} else {
 		p.late++
