schedule: raise the time-out of orders only while hardly any reply is prompt

Cause: the time-out of an order follows the average latency, and while more than half of the orders get no answer the time until they are given up counts as latency. With half of them lost that raised the time-out to 1 s, which was then counted in turn. Lost starts held their task and its room for up to 3 s before they counted as in doubt.

Fix: orders without an answer count as slow only while less than an eighth of all get an answer that isn't late. Where replies are slow, all are late, and the time-out rises as before (TestTimeoutFollowsLateReplies).

Test: TestTimeoutFollowsReplies/more_lost_than_answered and /few_answered failed before, with 1 s in place of 220 ms.

--- a/keel/schedule/window.go
+++ b/keel/schedule/window.go
@@ -29,6 +29,9 @@
 	// maxFailedShare is the share of orders without a reply from which on the limit is lowered without a comparison of latencies:
 	// those that time out hide how long a reply would take.
 	maxFailedShare = 0.125
+	// minPromptShare is the share of orders with a reply that isn't late from which on those without one are taken to be lost:
+	// others would get theirs as soon.
+	minPromptShare = 0.125
 	// raiseFactor is the factor by which the limit is raised to compare the latencies.
 	raiseFactor = 1.5
 	// comparisonPause is the number of adjustments after a comparison that has shown the limit to make replies late until the
@@ -46,10 +49,11 @@
 	// ended counts the orders that ended since the last adjustment, late those of them that took longer than lateOrder
 	// or found no goroutine to send them.
 	ended, late int
-	// mostlyFailed is set while most orders get no reply: only then the time until they are given up tells how long replies take.
+	// mostlyFailed is set while most orders get no reply and hardly any gets one that isn't late: only then the time until they are
+	// given up tells how long replies take.
 	mostlyFailed bool
-	// failed counts the orders without a reply since the last adjustment.
-	failed int
+	// failed counts the orders without a reply since the last adjustment, prompt those with one that wasn't late.
+	failed, prompt int
 	// answered counts the replies since the last adjustment to orders that were sent under the present limit, and took is the
 	// time that they took together. unsettled is the number of orders in flight that were sent under the limit before.
 	answered, unsettled int
@@ -93,6 +97,9 @@
 	if took > lateOrder || fault.IsKind(err, fault.Overloaded) {
 		w.late++
 	}
+	if err == nil && took <= lateOrder {
+		w.prompt++
+	}
 	switch {
 	case err != nil:
 		w.failed++
@@ -103,7 +110,7 @@
 	w.unsettled = max(0, w.unsettled-1)
 }
 
-// timeout returns the timeout of an order, which grows while all orders take long.
+// timeout returns the timeout of an order, which grows while replies take long.
 func (w *orderWindow) timeout() time.Duration {
 	return min(maxOrderTimeout, max(orderTimeout, latencyFactor*w.latency))
 }
@@ -142,10 +149,10 @@
 	}
 	w.limit = max(w.limit, w.minimum)
 	if w.ended > 0 {
-		w.mostlyFailed = 2*w.failed > w.ended
+		w.mostlyFailed = 2*w.failed > w.ended && float64(w.prompt) < minPromptShare*float64(w.ended)
 	}
 	w.pause = max(0, w.pause-1)
-	w.ended, w.late, w.failed, w.limited = 0, 0, 0, false
+	w.ended, w.late, w.failed, w.prompt, w.limited = 0, 0, 0, 0, false
 	w.sendWaiting()
 }
 
--- a/keel/schedule/window_test.go
+++ b/keel/schedule/window_test.go
@@ -200,14 +200,15 @@
 }
 
 // Guards against orders that are given up late because others are lost: each lost order then holds its task for a second
-// instead of orderTimeout. While hardly any order gets a reply, the timeout has to grow with the time that replies may take.
+// instead of orderTimeout, which happened once half of them were lost. While hardly any order gets a reply, the timeout has to
+// grow with the time that replies may take.
 func TestTimeoutFollowsReplies(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		// lost is the number of lost orders of each ten.
 		lost    int
 		timeout time.Duration
-	}{{"some_lost", 4, orderTimeout}, {"most_lost", 9, maxOrderTimeout}} {
+	}{{"some_lost", 4, orderTimeout}, {"more_lost_than_answered", 6, orderTimeout}, {"few_answered", 8, orderTimeout}, {"most_lost", 9, maxOrderTimeout}} {
 		t.Run(test.name, func(t *testing.T) {
 			w := newOrderWindow(initialStartLimit, minStartLimit)
 			lost := fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
@@ -226,3 +227,27 @@
 		})
 	}
 }
+
+// Guards against a timeout that stays low where most replies are late: orders that are carried out would be given up.
+func TestTimeoutFollowsLateReplies(t *testing.T) {
+	w := newOrderWindow(initialStartLimit, minStartLimit)
+	windowPath{fixed: 230 * time.Millisecond}.adjust(&w, 40)
+	assert.Check(t, w.timeout() > 500*time.Millisecond, "timeout %v", w.timeout())
+}
+
+// Guards against connections that are refused at once counting as replies in time.
+func TestRefusedConnectionsAreNoReplies(t *testing.T) {
+	w := newOrderWindow(initialStartLimit, minStartLimit)
+	for range 100 {
+		for n := range 10 {
+			w.add()
+			took := w.timeout()
+			if n < 3 {
+				took = time.Millisecond
+			}
+			w.remove(took, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown))
+		}
+		w.adjust()
+	}
+	assert.Equal(t, w.timeout(), maxOrderTimeout)
+}
