schedule: repeat the first renewal without a response at once

Cause: a worker counts as unresponsive and gets no tasks from a renewal without a response until the next one with a response, and that was sent only after the pause for workers that are gone, 0.25 s.

Fix: the first renewal without a response is repeated at once, later ones after the pause. A worker that is gone gets one call more.

Test: TestLostRenewalIsRepeatedAtOnce failed before: 0.255 s without tasks after a lost renewal, 0.1 s allowed. TestSilentWorkerIsRenewedWithPauses, which passed before, bounds the calls to a worker that is gone.

--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -91,12 +91,17 @@
 }
 
 func (s *Scheduler) handleRenewal(w *workerState, sent time.Duration, status worker.Status, err error) {
+	failedBefore := w.renewalFailed
 	w.renewalFailed = err != nil
 	if err != nil {
 		if !fault.IsKind(err, fault.Overloaded) {
 			s.markUnresponsive(w, err)
 		}
-		s.scheduleRenewal(w, renewRetry)
+		retry := renewRetry
+		if !failedBefore {
+			retry = minRenewInterval
+		}
+		s.scheduleRenewal(w, retry)
 		return
 	}
 	s.checkBoot(w, status.Reply)
