schedule: repeat start orders without a response while the worker responds

Cause: a start order without a response was sent again twice, then its run was stopped. The stop and the list that shows that the run isn't there are lost as often, and aren't sent while the worker is unresponsive.

The worker takes it for the same run.

TestStartIsNotRepeatedForLong, which passed before, bounds the repeats.

--- a/keel/schedule/repeat_test.go
+++ b/keel/schedule/repeat_test.go
@@ -64,3 +64,54 @@
 		})
 	}
 }
+
+// Guards against runs that are given up although their worker responds: a run whose start order had got no response three times
+// was stopped, and held its room until the worker had accepted that and listed its runs.
+func TestStartIsRepeatedWhileWorkerResponds(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		const duration = 300 * time.Millisecond
+		b.loseStartResponses(5, false, 2*time.Second)
+		b.submit(singleStepJob(firstJob, "p", 1, duration), duration)
+		elapsed := b.timeUntilCompleted(20 * time.Second)
+		assert.Check(t, elapsed < 5*orderTimeout+duration+300*time.Millisecond, "completed after %s", elapsed)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(b.hosts()), 0)
+	})
+}
+
+// Guards against repeats that hold a task for longer than its worker's lease is extended, where replies are slow.
+func TestStartIsNotRepeatedForLong(t *testing.T) {
+	for name, timeout := range map[string]time.Duration{"fast_replies": orderTimeout, "slow_replies": maxOrderTimeout} {
+		t.Run(name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				b.onLoop(func() { b.s.starts.latency = timeout / latencyFactor })
+				var stopped time.Time
+				inner := b.fleet.WorkerClient("leader")
+				b.setStop(func(ctx context.Context, to worker.Target, o worker.StopOrder) (worker.Reply, error) {
+					b.mu.Lock()
+					if stopped.IsZero() {
+						stopped = time.Now()
+					}
+					b.mu.Unlock()
+					return inner.Stop(ctx, to, o)
+				})
+				b.loseStartResponses(100, false, 10*time.Second)
+				submitted := time.Now()
+				b.submit(singleStepJob(firstJob, "p", 1, time.Second), time.Second)
+				time.Sleep(4 * time.Second)
+				b.setStart(nil)
+				b.mu.Lock()
+				held := stopped.Sub(submitted)
+				b.mu.Unlock()
+				assert.Check(t, held > 0 && held < max(unsettledStartTime, 3*timeout)+100*time.Millisecond, "stopped after %s", held)
+				b.timeUntilCompleted(30 * time.Second)
+			})
+		})
+	}
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -15,8 +15,9 @@
 	orderTimeout = 220 * time.Millisecond
 	// stopRetry is the delay before a failed stop order is sent again.
 	stopRetry = 150 * time.Millisecond
-	// maxStartRepeats is how often a start order without a response is sent again before its run is stopped.
-	maxStartRepeats = 2
+	// minStartRepeats is how often a start order without a response is sent again at least before its run is stopped. While that
+	// takes less than unsettledStartTime, it is sent again more often.
+	minStartRepeats = 2
 	// failureBackoff is the delay before a failed task is retried, multiplied by the number of its failures.
 	failureBackoff = 30 * time.Millisecond
 )
@@ -216,7 +217,7 @@
 		switch {
 		case r.confirmedAt != 0 && err != nil:
 			s.continueListed(r)
-		case r.mayRepeatStart(err):
+		case s.mayRepeatStart(r, err):
 			r.repeats++
 			s.sendStart(r, order)
 		case r.repeats > 0:
@@ -240,9 +241,11 @@
 
 // mayRepeatStart reports whether a start order that ended with the error is sent again. The worker takes it for the same run,
 // and rejects a late one once that has ended, so that a repeat settles most starts whose outcome is unknown.
-func (r *run) mayRepeatStart(err error) bool {
-	unknown := err != nil && fault.As(err).Outcome() != fault.NotRun
-	return unknown && r.repeats < maxStartRepeats && !r.stopping && r.worker.unresponsiveSince == 0
+func (s *Scheduler) mayRepeatStart(r *run, err error) bool {
+	if err == nil || fault.As(err).Outcome() == fault.NotRun || r.stopping || r.worker.unresponsiveSince != 0 {
+		return false
+	}
+	return r.repeats < minStartRepeats || s.Now()-r.ordered+s.starts.timeout() <= unsettledStartTime
 }
 
 // handleRepeatedStartReply applies the response to a start order that was sent again. The earlier order may have been
