schedule: count the pause before a repeated renewal from its sending

Fix: until the worker has been silent for 1 s, the interval of 0.25 s counts from the sending. A worker that refuses connections at once is asked each 0.25 s, one that is gone gets up to three calls more.

Test: TestLostRenewalsAreRepeatedAtOnce/two and /three failed before: 0.615 and 1.215 s without tasks, 0.45 and 0.8 s allowed. TestLostRenewalIsRepeatedAtOnce is its case "one", unchanged.

--- a/keel/schedule/lost_renewal_test.go
+++ b/keel/schedule/lost_renewal_test.go
@@ -44,20 +44,33 @@
 	return longest
 }
 
-// Guards against workers that get no tasks for 250 ms whenever a single renewal gets no response. Where half of them got
-// none, most workers were unusable.
-func TestLostRenewalIsRepeatedAtOnce(t *testing.T) {
-	withTestbed(t, func(b *testbed) {
-		b.addInstance("m1")
-		b.startEpoch(1, "p")
-		time.Sleep(500 * time.Millisecond)
-		b.submit(singleStepJob(firstJob, "p", 1, 20*time.Second), 20*time.Second)
-		time.Sleep(500 * time.Millisecond)
-		renewals := b.loseRenewals(func(number int64) bool { return number%2 == 1 })
-		silence := b.longestSilence("m1", 15*time.Second)
-		t.Logf("%d renewals, silent for at most %s", renewals.Load(), silence)
-		assert.Check(t, silence > 0 && silence < 100*time.Millisecond, "silent for %s", silence)
-	})
+// Guards against workers that get no tasks for 250 ms longer than necessary whenever a renewal gets no response. Where half of
+// them got none, most workers were unusable.
+func TestLostRenewalsAreRepeatedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lost is the number of renewals in a row without a response.
+		lost    int64
+		silence time.Duration
+	}{
+		{"one", 1, 100 * time.Millisecond},
+		{"two", 2, renewTimeoutMargin + 100*time.Millisecond},
+		{"three", 3, 2*renewTimeoutMargin + 100*time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withTestbed(t, func(b *testbed) {
+				b.addInstance("m1")
+				b.startEpoch(1, "p")
+				time.Sleep(500 * time.Millisecond)
+				b.submit(singleStepJob(firstJob, "p", 1, 20*time.Second), 20*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				renewals := b.loseRenewals(func(number int64) bool { return number%(test.lost+1) != 0 })
+				silence := b.longestSilence("m1", 15*time.Second)
+				t.Logf("%d renewals, silent for at most %s", renewals.Load(), silence)
+				assert.Check(t, silence > 0 && silence < test.silence, "silent for %s", silence)
+			})
+		})
+	}
 }
 
 // Guards against renewals without a pause to a worker that is gone.
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -91,17 +91,12 @@
 }
 
 func (s *Scheduler) handleRenewal(w *workerState, sent time.Duration, status worker.Status, err error) {
-	failedBefore := w.renewalFailed
 	w.renewalFailed = err != nil
 	if err != nil {
 		if !fault.IsKind(err, fault.Overloaded) {
 			s.markUnresponsive(w, err)
 		}
-		retry := renewRetry
-		if !failedBefore {
-			retry = minRenewInterval
-		}
-		s.scheduleRenewal(w, retry)
+		s.scheduleRenewal(w, s.failedRenewalPause(w, sent))
 		return
 	}
 	s.checkBoot(w, status.Reply)
@@ -125,6 +120,16 @@
 	s.scheduleNextRenewal(w)
 }
 
+// failedRenewalPause returns the delay before a renewal is repeated that was sent at the given time and got no response. It
+// counts from sent until the worker has been silent for promptRetryTime.
+func (s *Scheduler) failedRenewalPause(w *workerState, sent time.Duration) time.Duration {
+	now := s.Now()
+	if now-w.unresponsiveSince < promptRetryTime {
+		return max(minRenewInterval, renewRetry-(now-sent))
+	}
+	return renewRetry
+}
+
 // renewalWait returns how long the worker is to hold the next renewal open for a run to end.
 func (w *workerState) renewalWait(now time.Duration) time.Duration {
 	inDoubt := false
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -28,9 +28,10 @@
 	renewTimeoutMargin = 350 * time.Millisecond
 	// minRenewInterval is the minimum interval between renewals of a worker's lease.
 	minRenewInterval = 12 * time.Millisecond
-	// renewRetry is the interval between renewals of a worker that is unresponsive, but for the first one, or whose ends can't be
-	// stored yet.
+	// renewRetry is the interval between renewals of a worker that is unresponsive, or whose ends can't be stored yet.
 	renewRetry = 250 * time.Millisecond
+	// promptRetryTime is how long a worker is silent at least before the interval follows each renewal's timeout.
+	promptRetryTime = time.Second
 	// listingInterval is the minimum interval between complete lists of a worker's runs. A list shows progress and lost
 	// runs, and costs more than the end of a run.
 	listingInterval = 300 * time.Millisecond
