schedule: count long runs of long-running tasks as successes of their worker

Cause: failures of two jobs without a success in between keep tasks off their worker, each time for twice as long, up to 20 s. A success was a task that is done, which long-running tasks never are: on a worker with no others every failure added up. worker_avoided in the log names that reason, for 2.5, 5, 10 and 20 s.

Fix: a run of a long-running task that has lasted for 5 s counts as a success of its worker, once, and its failure doesn't count against it. Runs that fail sooner count as before.

--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -32,15 +32,30 @@
 	avoidances int
 }
 
+// clear forgets the failures.
+func (h *failureHistory) clear() { h.jobs, h.avoidances = nil, 0 }
+
 // recordSuccess records that a task was done on the worker.
 func (s *Scheduler) recordSuccess(w *workerState, r *run) {
-	w.failures.jobs = nil
-	w.failures.avoidances = 0
+	w.failures.clear()
 	if r != nil && r.answered {
 		s.recordDuration(r, s.Now()-r.confirmedAt)
 	}
 }
 
+// recordLongRun records a run of a long-running task that has lasted for long as a success of its worker, once.
+func (r *run) recordLongRun() {
+	if !r.succeeded && r.isLong() {
+		r.succeeded = true
+		r.worker.failures.clear()
+	}
+}
+
+// isLong reports whether the run of a long-running task has lasted for so long that its failure doesn't count against its worker.
+func (r *run) isLong() bool {
+	return r.task.step.spec.LongRunning && r.survived() >= provenTime
+}
+
 // recordWorkerFailure records that a task failed on the worker. A task that has failed on several instances is assumed
 // to be at fault itself and is not counted.
 func (s *Scheduler) recordWorkerFailure(w *workerState, t *task) {
@@ -107,6 +122,7 @@
 			r.checkSpeculation(now)
 			s.checkSurvival(r)
 			r.recordServing(now)
+			r.recordLongRun()
 			if r.isStalled() {
 				stalled[id] = r
 			}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -77,6 +77,8 @@
 	isolation suspicion
 	// awaitingEndSince is when the worker first listed neither the run, which is over, nor its end, 0 before that.
 	awaitingEndSince time.Duration
+	// succeeded is set once the run has counted as a success of its worker, although it goes on.
+	succeeded bool
 	// voluntary is set if the scheduler stopped the run although it was healthy.
 	voluntary bool
 	// evictionDueSince is since when the disruption budget has not allowed to stop the run for a maintenance, 0 if it isn't due or
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -76,6 +76,10 @@
 	case worker.Failed:
 		s.countFailure(t, w.Instance)
 		s.Log.WriteFunc(event.TaskFailed, func() event.Fields { return s.failureFields(t, w, end.Run) })
+		if r != nil && r.number == end.Run && r.isLong() {
+			r.recordLongRun()
+			return
+		}
 		s.recordWorkerFailure(w, t)
 	}
 }
