--- a/keel/schedule/health.go
+++ b/keel/schedule/health.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// recordLongRun records a run of a long-running task that has lasted for long as a success of its worker, once.
+// recordLongRun records the run as a success of its worker, once, if it is long.
 func (r *run) recordLongRun() {
 	if !r.succeeded && r.isLong() {
 		r.succeeded = true
@@ -51,7 +51,8 @@
 	}
 }
 
-// isLong reports whether the run of a long-running task has lasted for so long that its failure doesn't count against its worker.
+// isLong reports whether a long-running task has run for so long that its failure doesn't count against its worker. Such a task is
+// never done, so that other successes can't show that its worker is healthy.
 func (r *run) isLong() bool {
 	return r.task.step.spec.LongRunning && r.survived() >= provenTime
 }
--- a/keel/schedule/renewal.go
+++ b/keel/schedule/renewal.go
@@ -120,8 +120,8 @@
 	s.scheduleNextRenewal(w)
 }
 
-// failedRenewalPause returns the delay before a renewal is repeated that was sent at the given time and got no response. It
-// counts from sent until the worker has been silent for promptRetryTime.
+// failedRenewalPause returns the delay before the next renewal of a worker that left the one without a response that was sent at
+// the given time.
 func (s *Scheduler) failedRenewalPause(w *workerState, sent time.Duration) time.Duration {
 	now := s.Now()
 	if now-w.unresponsiveSince < promptRetryTime {
--- a/keel/schedule/worker.go
+++ b/keel/schedule/worker.go
@@ -30,7 +30,8 @@
 	minRenewInterval = 12 * time.Millisecond
 	// renewRetry is the interval between renewals of a worker that is unresponsive, or whose ends can't be stored yet.
 	renewRetry = 250 * time.Millisecond
-	// promptRetryTime is how long a worker is silent at least before the interval follows each renewal's timeout.
+	// promptRetryTime is how long a worker has been silent when renewRetry begins to count from the end of a renewal. It counts from
+	// the sending before, so that lost renewals, which take longer, are repeated at once.
 	promptRetryTime = time.Second
 	// listingInterval is the minimum interval between complete lists of a worker's runs. A list shows progress and lost
 	// runs, and costs more than the end of a run.
