schedule: send start orders again once a silent worker responds

Cause: a start order without a response isn't repeated while its worker is unresponsive. Where half of the orders are lost, a renewal is often lost just then, and the run was stopped at once, which is settled only after a stop and a list.

Fix: the order is sent again as soon as the worker responds, within the 1.5 s after which a start in doubt keeps the lease from being extended. A run on a worker that is gone is over when its lease ends, as before.

Test: TestStartIsRepeatedOnceWorkerResponds failed before: two runs for one task, now one.

--- a/keel/schedule/repeat_test.go
+++ b/keel/schedule/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,8 +14,8 @@
 )
 
 // loseStartResponses loses the responses to the first orders to start each run. If carriedOut is set, the worker carries
-// these out at once, else after the delay.
-func (b *testbed) loseStartResponses(orders int, carriedOut bool, delay time.Duration) {
+// these out at once, else after the delay. It returns a function that returns the number of runs that were to be started.
+func (b *testbed) loseStartResponses(orders int, carriedOut bool, delay time.Duration) (runs func() int) {
 	inner := b.fleet.WorkerClient("leader")
 	sent := make(map[int64]int)
 	b.setStart(func(ctx context.Context, to worker.Target, o worker.StartOrder) (worker.Reply, error) {
@@ -38,6 +39,11 @@
 		<-ctx.Done()
 		return worker.Reply{}, fault.New(fault.EndpointFailed, "no response").WithOutcome(fault.Unknown)
 	})
+	return func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(sent)
+	}
 }
 
 // Guards against a task that waits for seconds, run by run, while some orders to start runs get no response: each such run was
@@ -115,3 +121,28 @@
 		})
 	}
 }
+
+// Guards against a run that is given up because its start order got no response just when a renewal got none either.
+func TestStartIsRepeatedOnceWorkerResponds(t *testing.T) {
+	withTestbed(t, func(b *testbed) {
+		b.addInstance("m1")
+		b.startEpoch(1, "p")
+		time.Sleep(500 * time.Millisecond)
+		b.submit(singleStepJob("00000000000000b1", "p", 1, 20*time.Second), 20*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		var answered atomic.Bool
+		renewals := b.loseRenewals(func(int64) bool { return !answered.Load() })
+		for renewals.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		// The renewal is given up while the start order waits for its response.
+		time.Sleep(renewWait + renewTimeoutMargin - 100*time.Millisecond)
+		runs := b.loseStartResponses(1, false, 5*time.Second)
+		const duration = 300 * time.Millisecond
+		time.AfterFunc(300*time.Millisecond, func() { answered.Store(true) })
+		b.submit(singleStepJob(firstJob, "p", 1, duration), duration)
+		b.timeUntilCompleted(20 * time.Second)
+		assert.Equal(t, runs(), 1)
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -221,7 +221,7 @@
 			s.continueListed(r)
 		case s.mayRepeatStart(r, err):
 			r.repeats++
-			s.sendStart(r, order)
+			s.repeatStart(r, order, err)
 		case r.repeats > 0:
 			s.handleRepeatedStartReply(r, reply, err)
 		default:
@@ -244,10 +244,30 @@
 // mayRepeatStart reports whether a start order that ended with the error is sent again. The worker takes it for the same run,
 // and rejects a late one once that has ended, so that a repeat settles most starts whose outcome is unknown.
 func (s *Scheduler) mayRepeatStart(r *run, err error) bool {
-	if err == nil || fault.As(err).Outcome() == fault.NotRun || r.stopping || r.worker.unresponsiveSince != 0 {
+	if err == nil || fault.As(err).Outcome() == fault.NotRun || r.stopping {
 		return false
 	}
-	return r.repeats < minStartRepeats || s.Now()-r.ordered+s.starts.timeout() <= unsettledStartTime
+	few := r.repeats < minStartRepeats && r.worker.unresponsiveSince == 0
+	return few || s.Now()-r.ordered+s.starts.timeout() <= unsettledStartTime
+}
+
+// repeatStart sends a start order again that ended with the error, once its worker responds.
+func (s *Scheduler) repeatStart(r *run, order worker.StartOrder, err error) {
+	if r.worker.unresponsiveSince == 0 {
+		s.sendStart(r, order)
+		return
+	}
+	s.after(stopRetry, func() {
+		switch {
+		case r.removed:
+		case r.confirmedAt != 0:
+			s.continueListed(r)
+		case s.mayRepeatStart(r, err):
+			s.repeatStart(r, order, err)
+		default:
+			s.markInDoubt(r, err)
+		}
+	})
 }
 
 // handleRepeatedStartReply applies the response to a start order that was sent again. The earlier order may have been
