connection, site: hold the memory of callers' requests before it is taken

What callers saw: clients that send far more than the limits, or send or read slowly, made an entry hold connections times 4 MB of body, 300 KB of a header, or responses without end, and the process ended for want of memory. Others kept all connections, so that ordinary callers got 503. A request with a header of 15,900 bytes, of 16,384 that the configuration allows, got 400.

Cause: nobody owned the sum. Each connection had limits of its own, the HTTP library allocated an announced body before it arrived, the limit of the configuration was checked after reading, and connections that had sent nothing or didn't read were never closed for others. The configuration's maxHeaderBytes and headerTimeoutMs were decoded and not applied.

Change: keel/budget owns the memory that clients can make an entry hold, a part of limits.memoryMb (--client-memory-share) divided among the listeners. Each connection of callers holds its share before it is taken: buffers, header once parsed, body as it arrives, response, and the kernel's queues, which are 16 KB. Without room the slowest connection is closed after a second, then idle ones, then those whose header hasn't arrived; requests that are served are never given up, others get 503 with Retry-After. A body that is announced too large is refused at its header, and a client that still sends can read the refusal. A response that isn't read ends the connection (--write-timeout). The header limits of the configuration apply. The metrics clients_limited_total, client_memory_bytes and client_connections and the event clients_limited (one line a second for each reason) replace callers_limited.

TestIdleConnectionMakesRoom and TestBusyConnectionsStay read the account's counters instead of a callback that no longer exists, and check as much.

--- a/entry/connection/limit.go
+++ b/entry/connection/limit.go
@@ -1,10 +1,14 @@
 package connection
 
 import (
+	"context"
 	"net"
-	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"samphirekeel.example/keel/budget"
 )
 
 const (
@@ -12,20 +16,35 @@
 	refusalTimeout = 100 * time.Millisecond
 	// refusal is the response on a connection beyond the limit while none is idle.
 	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// SocketQueueBytes bounds what the kernel queues for a client's connection: what was received and the process hasn't read, and what was
+	// written and the client hasn't received. At 6 ms between them, a client can send 2.7 MB a second.
+	SocketQueueBytes = 16 << 10
 )
 
-// Limited is a listener with a maximum number of open connections: beyond it, the connection that has been idle for longest is closed
-// for a new one. If none is idle, the new one gets the status 503 and is closed.
+// Listen opens a listener for whose connections the kernel queues at most queueBytes in each direction, 0 for SocketQueueBytes.
+func Listen(address string, queueBytes int) (net.Listener, error) {
+	if queueBytes == 0 {
+		queueBytes = SocketQueueBytes
+	}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Connections inherit the sizes. Where the kernel lacks the options, its own limits apply.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, queueBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, queueBytes)
+		})
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// Limited is a listener whose connections are held in an account: without room for a new one, slow and idle ones are closed. If there
+// are none, the new one gets the status 503 and is closed.
 type Limited struct {
 	net.Listener
-	// Set tracks the connections of the server that accepts them here.
-	Set *Set
-	// Max is the maximum number of open connections, 0 for no limit.
-	Max int
-	// OnFull is called, from any goroutine, with whether the new connection was refused.
-	OnFull func(refused bool)
-
-	open atomic.Int64
+	// Account holds the connections; nil means that there is no limit.
+	Account *budget.Account
+	// ConnBytes is what an idle connection holds, in bytes.
+	ConnBytes int64
+	Timeouts  Timeouts
 }
 
 // Accept returns the next connection for which there is room.
@@ -35,16 +54,19 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.Max != 0 && l.open.Load() >= int64(l.Max) {
-			refused := !l.Set.closeLongestIdle()
-			l.OnFull(refused)
-			if refused {
-				refuse(conn)
-				continue
-			}
+		client := &Conn{Conn: conn, timeouts: l.Timeouts}
+		hold, ok := l.Account.Add(l.ConnBytes, client.evict)
+		if !ok {
+			refuse(conn)
+			continue
 		}
-		l.open.Add(1)
-		return &counted{Conn: conn, closed: func() { l.open.Add(-1) }}, nil
+		client.hold = hold
+		err = conn.SetReadDeadline(time.Now().Add(l.Timeouts.Idle()))
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		return client, nil
 	}
 }
 
@@ -54,16 +76,3 @@
 	_, _ = conn.Write([]byte(refusal))
 	_ = conn.Close()
 }
-
-// counted is a connection that calls closed when it is closed first.
-type counted struct {
-	net.Conn
-	once   sync.Once
-	closed func()
-}
-
-// Close closes the connection.
-func (c *counted) Close() error {
-	c.once.Do(c.closed)
-	return c.Conn.Close()
-}
--- a/entry/connection/limit_test.go
+++ b/entry/connection/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"samphirekeel.example/keel/budget"
 )
 
 // limitedServer is a server with a limit on open connections whose requests for /wait are served until release is closed.
@@ -17,24 +20,29 @@
 	t       *testing.T
 	address string
 	set     *Set
+	account *budget.Account
 	release chan struct{}
-	full    chan bool
 }
 
 func newLimitedServer(t *testing.T, most int) *limitedServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &limitedServer{t: t, address: listener.Addr().String(), release: make(chan struct{}), full: make(chan bool, 100)}
+	s := &limitedServer{t: t, address: listener.Addr().String(), release: make(chan struct{})}
 	set := &Set{}
 	s.set = set
-	server := &fasthttp.Server{ConnState: set.Track, Handler: func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) == "/wait" {
-			<-s.release
-		}
-	}}
-	limited := &Limited{Listener: listener, Set: set, Max: most, OnFull: func(refused bool) { s.full <- refused }}
+	s.account = &budget.Account{Listener: "callers", Bytes: math.MaxInt64, Connections: most}
+	timeout := func() time.Duration { return time.Minute }
+	server := &Server{
+		Set: set, Account: s.account, Timeouts: Timeouts{Idle: timeout, Header: timeout, Body: time.Minute, Write: time.Minute},
+		MaxBody: func() int { return 0 },
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/wait" {
+				<-s.release
+			}
+		},
+	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(limited) }()
+	go func() { done <- server.Serve(listener) }()
 	t.Cleanup(func() {
 		_ = listener.Close()
 		assert.NilError(t, <-done)
@@ -76,7 +84,8 @@
 	}
 	_, status := s.get("/")
 	assert.Equal(t, status, 200)
-	assert.Assert(t, !<-s.full)
+	assert.Equal(t, s.account.Count(budget.ConnectionClosed), int64(1))
+	assert.Equal(t, s.account.Count(budget.ConnectionRefused), int64(0))
 	assert.Equal(t, s.read(conns[0]), 0, "the connection that was idle for longest is open")
 	for _, conn := range conns[1:] {
 		_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -98,7 +107,7 @@
 	time.Sleep(200 * time.Millisecond)
 	_, status := s.get("/")
 	assert.Equal(t, status, 503)
-	assert.Assert(t, <-s.full)
+	assert.Equal(t, s.account.Count(budget.ConnectionRefused), int64(1))
 	close(s.release)
 	assert.Equal(t, <-statuses, 200)
 	assert.Equal(t, <-statuses, 200)
--- a/entry/connection/set.go
+++ b/entry/connection/set.go
@@ -28,6 +28,13 @@
 
 // Track records a change of a connection's state; it is used as the server's ConnState.
 func (c *Set) Track(conn net.Conn, state fasthttp.ConnState) {
+	client, ok := conn.(*Conn)
+	switch {
+	case ok && state == fasthttp.StateActive:
+		client.beginHeader()
+	case ok && state == fasthttp.StateIdle:
+		client.endRequest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.states == nil {
@@ -117,25 +124,6 @@
 	}
 }
 
-// closeLongestIdle closes the connection that has been idle for longest, and returns false if none is idle.
-func (c *Set) closeLongestIdle() bool {
-	c.mu.Lock()
-	var longest net.Conn
-	for conn, t := range c.states {
-		if t.state == fasthttp.StateIdle && (longest == nil || t.since.Before(c.states[longest].since)) {
-			longest = conn
-		}
-	}
-	// The next call must not choose the same connection.
-	delete(c.states, longest)
-	c.mu.Unlock()
-	if longest == nil {
-		return false
-	}
-	_ = longest.Close()
-	return true
-}
-
 // CloseIdle closes the connections that have been idle for longer than the time. Nothing is written on them, which a caller could take
 // for the response to a request that it sends at that moment.
 func (c *Set) CloseIdle(longerThan time.Duration) {
--- a/entry/main.go
+++ b/entry/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
@@ -25,13 +26,15 @@
 
 // options is the command line.
 type options struct {
-	Settings     string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this entry"`
-	Platform     string `long:"platform-settings" value-name:"FILE" env:"SAMPHIREKEEL_SETTINGS" description:"settings file that the platform writes; the entry then runs on the platform"`
-	LogLevel     string `long:"log-level" value-name:"LEVEL" default:"info" description:"lowest level that is logged on the platform"`
-	Metrics      int    `long:"metrics-port" value-name:"PORT" description:"port on which an entry on the platform serves /metrics; 0 for none"`
-	NoSeparation bool   `long:"no-separation" description:"don't keep tasks apart that slow each other down on one worker"`
-	Forecast     bool   `long:"forecast" description:"learn peaks of demand that come back, and move instances before them"`
-	Check        bool   `long:"check" description:"check the settings file and that its addresses are free, and exit"`
+	Settings     string        `short:"s" long:"settings" value-name:"FILE" description:"settings file of this entry"`
+	Platform     string        `long:"platform-settings" value-name:"FILE" env:"SAMPHIREKEEL_SETTINGS" description:"settings file that the platform writes; the entry then runs on the platform"`
+	LogLevel     string        `long:"log-level" value-name:"LEVEL" default:"info" description:"lowest level that is logged on the platform"`
+	Metrics      int           `long:"metrics-port" value-name:"PORT" description:"port on which an entry on the platform serves /metrics; 0 for none"`
+	NoSeparation bool          `long:"no-separation" description:"don't keep tasks apart that slow each other down on one worker"`
+	Forecast     bool          `long:"forecast" description:"learn peaks of demand that come back, and move instances before them"`
+	ClientMemory float64       `long:"client-memory-share" value-name:"FRACTION" default:"0.3" description:"part of the instance's memory on the platform that clients may make the entry hold"`
+	WriteTimeout time.Duration `long:"write-timeout" value-name:"DURATION" default:"10s" description:"time within which a client on the platform has to read each 64 KB of a response"`
+	Check        bool          `long:"check" description:"check the settings file and that its addresses are free, and exit"`
 }
 
 func main() {
@@ -106,6 +109,7 @@
 	log.Base = event.Fields{"entry": settings.Name}
 	process := &site.Entry{
 		Settings: settings, Log: &log.Log, Version: version, Reload: load, MetricsPort: opts.Metrics, NoSeparation: opts.NoSeparation, ForecastPeaks: opts.Forecast,
+		ClientMemoryShare: opts.ClientMemory, WriteTimeout: opts.WriteTimeout,
 		Store: platform.NewStore(settings.Store.Address), Workers: platform.NewWorkerClient(), Codec: site.PlatformCodec(),
 	}
 	if settings.InstanceService.Address != "" {
--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -6,8 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/queue"
@@ -24,8 +26,6 @@
 	maxIdleTimeout     = 5 * time.Minute
 	// idleCheckInterval is the interval between two checks for idle connections.
 	idleCheckInterval = time.Second
-	// readTimeout is the timeout for reading a request, from its first byte.
-	readTimeout = 10 * time.Second
 	// defaultCallerTimeout is the timeout of a caller that doesn't send one.
 	defaultCallerTimeout = 3 * time.Second
 	// responseMargin is subtracted from the caller's timeout, so that the response arrives in time.
@@ -127,8 +127,14 @@
 	ctx.SetBodyString(`{"error":` + strconv.Quote(failure.Text()) + `}`)
 }
 
-func rejectMalformed(ctx *fasthttp.RequestCtx, err error) {
-	writeError(ctx, fault.Wrap(fault.BadRequest, err, "malformed request"))
+// rejectUnreadable responds to a request that can't be read.
+func rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	var known *fault.Error
+	if !errors.As(err, &known) {
+		known = fault.Wrap(fault.BadRequest, err, "malformed request")
+	}
+	writeError(ctx, known)
+	ctx.SetConnectionClose()
 }
 
 // checkedConfig is the applied configuration; current reports whether it is known to be the one in force.
@@ -137,33 +143,21 @@
 	current bool
 }
 
-// checkBody fails if the body of a submission exceeds the limit, with kind TooLarge only if that limit is known to be in
+// readBody reads the body of a submission. It fails with kind TooLarge for a body above the limit only if that limit is known to be in
 // force.
-func (c checkedConfig) checkBody(body []byte) error {
-	limit := c.Limits.BodyBytes
-	switch {
-	case limit <= 0 || len(body) <= limit:
-		return nil
-	case !c.current:
-		return fault.New(fault.NotReady, "submission of %d bytes over the last known limit of %d, which may be out of date", len(body), limit).WithRetryAfter(retryAfter)
+func (c checkedConfig) readBody(ctx *fasthttp.RequestCtx) error {
+	limit := bodyLimit(c.Limits)
+	err := connection.ReadBody(ctx, limit)
+	if fault.IsKind(err, fault.TooLarge) && limit < maxBodyBytes && !c.current {
+		return fault.Wrap(fault.NotReady, err, "the last known limit on submissions may be out of date").WithRetryAfter(retryAfter)
 	}
-	return fault.New(fault.TooLarge, "submission too large: %d bytes, limit %d", len(body), limit)
+	return err
 }
 
 func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config checkedConfig, q *queue.Queue, from caller, id string) {
-	body := ctx.PostBody()
-	err := config.checkBody(body)
-	if err != nil {
-		s.rejectSubmission(ctx, id, from, err)
-		return
-	}
-	job, err := platform.DecodeJob(id, q.Name, body)
-	if err == nil {
-		job.Terms, job.Tenant = config.Terms(q), from.tenant
-		err = config.checkCap(job)
-	}
+	err := config.readBody(ctx)
 	if err == nil {
-		err = s.submit(callCtx, job, from)
+		err = s.submitBody(callCtx, config, q, from, id, ctx.PostBody())
 	}
 	if err != nil {
 		s.rejectSubmission(ctx, id, from, err)
@@ -173,6 +167,20 @@
 	ctx.SetBodyString("{}")
 }
 
+// submitBody decodes, checks and stores a job.
+func (s *Entry) submitBody(callCtx context.Context, config checkedConfig, q *queue.Queue, from caller, id string, body []byte) error {
+	job, err := platform.DecodeJob(id, q.Name, body)
+	if err != nil {
+		return err
+	}
+	job.Terms, job.Tenant = config.Terms(q), from.tenant
+	err = config.checkCap(job)
+	if err != nil {
+		return err
+	}
+	return s.submit(callCtx, job, from)
+}
+
 // submit checks and stores a job and notifies the leader.
 func (s *Entry) submit(ctx context.Context, job *work.Job, from caller) error {
 	err := job.Check()
--- /dev/null
+++ b/entry/site/clients.go
@@ -0,0 +1,116 @@
+package site
+
+import (
+	"math"
+	"time"
+
+	"samphirekeel.example/entry/connection"
+	"samphirekeel.example/keel/budget"
+	"samphirekeel.example/keel/queue"
+)
+
+const (
+	// DefaultClientMemoryShare is the default of Entry.ClientMemoryShare. The leader's state and the garbage of the runtime share the rest.
+	DefaultClientMemoryShare = 0.3
+	// DefaultWriteTimeout is the default of Entry.WriteTimeout.
+	DefaultWriteTimeout = 10 * time.Second
+	// defaultHeaderTimeout is the timeout of a header unless the configuration says so, and bodyTimeout that of a body.
+	defaultHeaderTimeout = 10 * time.Second
+	bodyTimeout          = 10 * time.Second
+)
+
+// The parts of the clients' memory that each listener may use.
+const (
+	callerMemory    = 0.6
+	peerMemory      = 0.3
+	readinessMemory = 0.05
+	metricsMemory   = 0.05
+)
+
+const (
+	// reservedDescriptors is the number of descriptors that the platform reserves for files.
+	reservedDescriptors = 200
+	// callerDescriptors and peerDescriptors are the parts of the other descriptors for connections of callers and of peers, and
+	// probeDescriptors that for readiness probes and for readers of metrics each. The rest is for the store, the instance service and
+	// workers.
+	callerDescriptors = 2.0 / 3
+	peerDescriptors   = 1.0 / 8
+	probeDescriptors  = 1.0 / 48
+	// minConnections is the least limit of connections, however few descriptors there are.
+	minConnections = 8
+)
+
+// clientAccounts hold the memory of the clients of each listener.
+type clientAccounts struct {
+	callers, peers, readiness, metrics *budget.Account
+}
+
+// buildAccounts divides the memory for clients among the listeners.
+func (s *Entry) buildAccounts() {
+	memory := budget.Budget{Bytes: math.MaxInt64, Log: s.Log}
+	if s.Settings.Limits.MemoryMB > 0 {
+		memory.Bytes = int64(s.ClientMemoryShare * float64(s.Settings.Limits.MemoryMB) * (1 << 20))
+	}
+	s.accounts = clientAccounts{
+		callers:   memory.Account("callers", callerMemory, s.maxConnections(callerDescriptors)),
+		peers:     memory.Account("peers", peerMemory, s.maxConnections(peerDescriptors)),
+		readiness: memory.Account("readiness", readinessMemory, s.maxConnections(probeDescriptors)),
+		metrics:   memory.Account("metrics", metricsMemory, s.maxConnections(probeDescriptors)),
+	}
+	memory.Register(s.registry)
+}
+
+// maxConnections returns the maximum number of open connections of a listener that may use the part of the descriptors, 0 for no limit.
+func (s *Entry) maxConnections(part float64) int {
+	if s.Settings.Limits.Descriptors == 0 {
+		return 0
+	}
+	return max(minConnections, int(part*float64(s.Settings.Limits.Descriptors-reservedDescriptors)))
+}
+
+// timeouts returns the timeouts of clients' connections.
+func (s *Entry) timeouts() connection.Timeouts {
+	return connection.Timeouts{Idle: s.idleTimeout, Header: s.headerTimeout, Body: bodyTimeout, Write: s.WriteTimeout}
+}
+
+// headerTimeout returns how long a request's header may take from its first byte.
+func (s *Entry) headerTimeout() time.Duration {
+	config := s.config.Load()
+	if config == nil || config.Limits.HeaderTimeout == 0 {
+		return defaultHeaderTimeout
+	}
+	return config.Limits.HeaderTimeout
+}
+
+// maxHeader returns the maximum size of a request's header in bytes, 0 if the configuration doesn't say.
+func (s *Entry) maxHeader() int {
+	config := s.config.Load()
+	if config == nil {
+		return 0
+	}
+	return config.Limits.HeaderBytes
+}
+
+// maxBody returns the maximum size of a submission in bytes.
+func (s *Entry) maxBody() int {
+	config := s.config.Load()
+	if config == nil {
+		return maxBodyBytes
+	}
+	return bodyLimit(config.Limits)
+}
+
+// bodyLimit returns the maximum size of a submission in bytes.
+func bodyLimit(limits queue.Limits) int {
+	if limits.BodyBytes <= 0 {
+		return maxBodyBytes
+	}
+	return min(maxBodyBytes, limits.BodyBytes)
+}
+
+func (s *Entry) callerServer() *connection.Server {
+	return &connection.Server{
+		Handler: s.serveCaller, Reject: rejectUnreadable, Set: &s.conns, Account: s.accounts.callers, Timeouts: s.timeouts(),
+		HeaderBytes: connection.HeaderBufferBytes, MaxHeader: s.maxHeader, MaxBody: s.maxBody,
+	}
+}
--- a/entry/site/listen.go
+++ b/entry/site/listen.go
@@ -9,6 +9,7 @@
 	"samphirekeel.example/keel/accept"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/peer"
 )
 
 // listeners are the listeners of one entry; metrics is nil if no metrics are served.
@@ -21,18 +22,19 @@
 	open := &listeners{}
 	addresses := []struct {
 		name, address string
+		queueBytes    int
 		listener      *net.Listener
 	}{
-		{"callers", s.Settings.Callers, &open.callers},
-		{"the load balancer", s.Settings.Readiness, &open.readiness},
-		{"peers", s.peerAddress(), &open.peers},
-		{"metrics", s.metricsAddress(), &open.metrics},
+		{"callers", s.Settings.Callers, connection.SocketQueueBytes, &open.callers},
+		{"the load balancer", s.Settings.Readiness, connection.SocketQueueBytes, &open.readiness},
+		{"peers", s.peerAddress(), peer.SocketQueueBytes, &open.peers},
+		{"metrics", s.metricsAddress(), connection.SocketQueueBytes, &open.metrics},
 	}
 	for _, a := range addresses {
 		if a.address == "" {
 			continue
 		}
-		listener, err := s.Listen(a.address)
+		listener, err := s.Listen(a.address, a.queueBytes)
 		if err != nil {
 			open.close()
 			return nil, fault.Wrap(fault.Usage, err, "listen for %s", a.name)
@@ -65,30 +67,6 @@
 	return fmt.Sprintf("%s:%d", s.Settings.IP, s.MetricsPort)
 }
 
-const (
-	// reservedDescriptors is the number of descriptors that the platform reserves for files.
-	reservedDescriptors = 200
-	// callerShare is the share of the other descriptors for connections of callers. The rest is for the store, the instance
-	// service, workers, other entries and readiness probes.
-	callerShare = 2.0 / 3
-)
-
-// maxCallers returns the maximum number of open connections of callers, 0 for no limit.
-func (s *Entry) maxCallers() int {
-	if s.Settings.Limits.Descriptors == 0 {
-		return 0
-	}
-	return max(1, int(callerShare*float64(s.Settings.Limits.Descriptors-reservedDescriptors)))
-}
-
-// limitCallers limits the number of open connections of callers.
-func (s *Entry) limitCallers(listener net.Listener) net.Listener {
-	most := s.maxCallers()
-	return &connection.Limited{Listener: listener, Set: &s.conns, Max: most, OnFull: func(refused bool) {
-		s.Log.Write(event.CallersLimited, event.Fields{"limit": most, "refused": refused})
-	}}
-}
-
 // idleTimeout returns how long a connection of a caller may be idle.
 func (s *Entry) idleTimeout() time.Duration {
 	config := s.config.Load()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"runtime/debug"
@@ -9,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"samphirekeel.example/entry/connection"
@@ -90,8 +90,13 @@
 	Policy   *worker.PolicyClient
 	// Codec decodes the rows that others write to the store.
 	Codec Codec
-	// Listen opens a listener and Dial a connection within the timeout; both default to TCP if nil.
-	Listen func(address string) (net.Listener, error)
+	// ClientMemoryShare is the fraction of the instance's memory that clients of all listeners may make the entry hold, 0 for the default.
+	ClientMemoryShare float64
+	// WriteTimeout is the time within which a client has to read each part of a response, 0 for the default.
+	WriteTimeout time.Duration
+	// Listen opens a listener for whose connections the kernel queues at most queueBytes in each direction, and Dial a connection within
+	// the timeout; both default to TCP if nil.
+	Listen func(address string, queueBytes int) (net.Listener, error)
 	Dial   func(address string, timeout time.Duration) (net.Conn, error)
 	// Now is a monotonic clock that includes time suspended, Wall the time since the Unix epoch; both default to the
 	// system's clocks if nil.
@@ -141,6 +146,7 @@
 	// nanoseconds of Now.
 	lastLeaderResponse atomic.Int64
 	conns              connection.Set
+	accounts           clientAccounts
 	// storeUnavailable reports that this entry's last poll of the operator's table failed.
 	storeUnavailable atomic.Bool
 }
@@ -165,7 +171,7 @@
 	group, groupCtx := errgroup.WithContext(serveCtx)
 	s.relayClient.Post = func(f func()) { s.loop.Post(groupCtx, f) }
 	group.Go(func() error { return s.loop.Run(groupCtx, s.start) })
-	group.Go(func() error { return ignoreAfterStop(groupCtx, s.callerServer().Serve(s.limitCallers(opened.callers))) })
+	group.Go(func() error { return ignoreAfterStop(groupCtx, s.callerServer().Serve(opened.callers)) })
 	group.Go(func() error { return ignoreAfterStop(groupCtx, s.readinessServer().Serve(opened.readiness)) })
 	group.Go(func() error { return s.node.Serve(groupCtx, opened.peers) })
 	if opened.metrics != nil {
@@ -201,7 +207,7 @@
 // setDefaults sets the functions that are nil to the network and clocks of the system.
 func (s *Entry) setDefaults() {
 	if s.Listen == nil {
-		s.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		s.Listen = connection.Listen
 	}
 	if s.Dial == nil {
 		s.Dial = func(address string, timeout time.Duration) (net.Conn, error) {
@@ -214,9 +220,9 @@
 	if s.Wall == nil {
 		s.Wall = wallClock
 	}
-	if s.RelayMinWorkers == 0 {
-		s.RelayMinWorkers = defaultRelayMinWorkers
-	}
+	s.RelayMinWorkers = cmp.Or(s.RelayMinWorkers, defaultRelayMinWorkers)
+	s.ClientMemoryShare = cmp.Or(s.ClientMemoryShare, DefaultClientMemoryShare)
+	s.WriteTimeout = cmp.Or(s.WriteTimeout, DefaultWriteTimeout)
 }
 
 func (s *Entry) build() error {
@@ -226,6 +232,7 @@
 	s.metrics = schedule.NewMetrics(s.registry)
 	s.requests = s.newRequestMetrics()
 	s.tenants = newTenantMetrics(s.registry)
+	s.buildAccounts()
 	s.updateKeyTime()
 	s.waves = make(map[int64]provider.Wave)
 	s.operatorRows = make(map[string]table.Row)
@@ -341,11 +348,3 @@
 		s.Log.Write(event.ReloadDone, event.Fields{"outcome": "read", "changed": changed})
 	})
 }
-
-func (s *Entry) callerServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: s.serveCaller, Name: "samphirekeel", ConnState: s.conns.Track, MaxRequestBodySize: maxBodyBytes,
-		IdleTimeout: 2 * maxIdleTimeout, ReadTimeout: readTimeout, NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		ErrorHandler: rejectMalformed,
-	}
-}
--- /dev/null
+++ b/keel/budget/hold.go
@@ -0,0 +1,147 @@
+package budget
+
+import (
+	"bytes"
+	"container/list"
+	"time"
+)
+
+// State is what a connection waits for.
+type State int
+
+// The states of a connection.
+const (
+	// Idle means that the connection has no request.
+	Idle State = iota
+	// Arriving means that the connection is new, or the header of a request is being read: nothing of the request is known.
+	Arriving
+	// Waiting means that the entry waits for the client, to send the rest of a request or to read the response.
+	Waiting
+	// Busy means that a request is being served.
+	Busy
+)
+
+// Hold is what one connection holds; its methods are safe for concurrent use. A nil Hold has no limit.
+type Hold struct {
+	account *Account
+	evict   func()
+
+	bytes int64
+	state State
+	since time.Time
+	// element is the place in the account's list of the state, nil while Busy.
+	element *list.Element
+	// removed reports that the connection was closed or evicted.
+	removed bool
+}
+
+// Grow adds bytes before they are taken; it returns false, and adds none, if there is no room or the connection was evicted.
+func (h *Hold) Grow(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	a := h.account
+	a.mu.Lock()
+	if h.removed {
+		a.mu.Unlock()
+		return false
+	}
+	evicted, ok := a.makeRoom(h, bytes, 0)
+	if ok {
+		h.bytes += bytes
+		a.used += bytes
+	}
+	a.mu.Unlock()
+	closeAll(evicted)
+	return ok
+}
+
+// Shrink gives bytes back.
+func (h *Hold) Shrink(bytes int64) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if !h.removed {
+		h.bytes -= bytes
+		h.account.used -= bytes
+	}
+}
+
+// SetState records that the connection is in the state from now on.
+func (h *Hold) SetState(state State) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if !h.removed {
+		h.setState(state)
+	}
+}
+
+func (h *Hold) setState(state State) {
+	h.unlist()
+	h.state, h.since = state, time.Now()
+	if state != Busy {
+		h.element = h.account.waits[state].PushBack(h)
+	}
+}
+
+// unlist removes the connection from the list of its state.
+func (h *Hold) unlist() {
+	if h.element == nil {
+		return
+	}
+	h.account.waits[h.state].Remove(h.element)
+	h.element = nil
+}
+
+// size returns the number of bytes held, 0 for a nil Hold.
+func (h *Hold) size() int64 {
+	if h == nil {
+		return 0
+	}
+	return h.bytes
+}
+
+// Close gives back all that the connection holds; it may be called more than once.
+func (h *Hold) Close() {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if !h.removed {
+		h.remove()
+	}
+}
+
+func (h *Hold) remove() {
+	h.unlist()
+	h.removed = true
+	h.account.used -= h.bytes
+	h.account.open--
+}
+
+// Note counts and logs that a limit has acted on the connection.
+func (h *Hold) Note(limit Limit) {
+	if h != nil {
+		h.account.Note(limit)
+	}
+}
+
+const (
+	// jsonCopies is how often decoding holds the text itself: as received, in parts and in decoded strings, each in a buffer that may be
+	// twice as large.
+	jsonCopies = 4
+	// jsonValueBytes is the memory of one decoded value in a list that grows; the largest type has some 190 bytes.
+	jsonValueBytes = 256
+)
+
+// JSONBytes returns an upper estimate of the memory that decoding a text takes, in bytes.
+func JSONBytes(data []byte) int64 {
+	values := bytes.Count(data, []byte{','}) + bytes.Count(data, []byte{'{'}) + bytes.Count(data, []byte{'['})
+	return jsonCopies*int64(len(data)) + jsonValueBytes*int64(values)
+}
--- a/keel/event/entry.go
+++ b/keel/event/entry.go
@@ -10,7 +10,7 @@
 	EntryStopped
 	EntryRequestFailed
 	AcceptFailed
-	CallersLimited
+	ClientsLimited
 )
 
 var entryEvents = []Definition{
@@ -19,6 +19,6 @@
 	{EntryStopping, "entry_stopping", logrus.InfoLevel, "an entry was asked to stop and finishes its requests in flight", []string{"in_flight"}},
 	{EntryStopped, "entry_stopped", logrus.InfoLevel, "an entry has stopped and exits", nil},
 	{AcceptFailed, "accept_failed", logrus.WarnLevel, "a listener can't accept a connection, for example because descriptors are used up, and tries again after the delay", []string{"listener", "reason", "retry_ms"}},
-	{CallersLimited, "callers_limited", logrus.WarnLevel, "a new caller exceeds the limit of open connections, so that the connection that has been idle for longest is closed or, if none is idle, the new one is refused with 503", []string{"limit", "refused"}},
+	{ClientsLimited, "clients_limited", logrus.WarnLevel, "a limit has closed or refused clients of a listener since the last such line, at most one a second for each reason: connections, memory, header_timeout, body_timeout, write_timeout", []string{"listener", "reason", "action", "clients", "held_bytes", "limit_bytes", "connections", "limit_connections"}},
 	{EntryRequestFailed, "entry_request_failed", logrus.InfoLevel, "the response to a request is an error", []string{"request", "kind", "outcome", "reason"}},
 }
--- a/keel/peer/codec.go
+++ b/keel/peer/codec.go
@@ -14,8 +14,13 @@
 	"samphirekeel.example/keel/fault"
 )
 
-// maxMessageBytes is the maximum size of one message in bytes.
-const maxMessageBytes = 8 << 20
+const (
+	// maxMessageBytes is the maximum size of one message in bytes.
+	maxMessageBytes = 8 << 20
+	// SocketQueueBytes bounds what the kernel queues for a connection that a peer opened, in each direction. At 3 ms between the peers, a
+	// link carries 10 MB a second.
+	SocketQueueBytes = 32 << 10
+)
 
 // codec is jsonrpc2's length-prefixed codec with a limit on the length. It copies the parameters of requests as they are,
 // whereas jsonrpc2 validates them several times and, when it receives them, decodes them into maps and encodes these
