site: hold the memory of readiness probes and of readers of metrics

What callers saw: clients of the two listeners could open connections until the process had no descriptors left for the store, which callers saw as 503, make it hold 4 MB of body each, and have responses of metrics queued without end.

Cause: both listeners had the HTTP library's defaults, without a limit on connections and without a timeout for a client that doesn't read.

Change: both are served as callers are, each with a part of the clients' memory and of the descriptors; no body is read, and four requests for the metrics are served at a time.

--- a/entry/site/clients.go
+++ b/entry/site/clients.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/queue"
@@ -114,3 +116,14 @@
 		HeaderBytes: connection.HeaderBufferBytes, MaxHeader: s.maxHeader, MaxBody: s.maxBody,
 	}
 }
+
+// probeServer returns a server for requests without a body.
+func (s *Entry) probeServer(account *budget.Account, handler fasthttp.RequestHandler) *connection.Server {
+	idle := func() time.Duration { return defaultIdleTimeout }
+	header := func() time.Duration { return defaultHeaderTimeout }
+	return &connection.Server{
+		Handler: handler, Reject: rejectUnreadable, Set: &connection.Set{}, Account: account,
+		Timeouts: connection.Timeouts{Idle: idle, Header: header, Body: bodyTimeout, Write: s.WriteTimeout},
+		MaxBody:  func() int { return 0 },
+	}
+}
--- a/entry/site/metrics.go
+++ b/entry/site/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/configcheck"
 	"samphirekeel.example/keel/fault"
 )
@@ -71,22 +72,22 @@
 	m.seconds.WithLabelValues(call, strconv.Itoa(status)).Observe(duration.Seconds())
 }
 
+// maxConcurrentScrapes is the maximum number of requests for the metrics that are served at the same time; others get 503.
+const maxConcurrentScrapes = 4
+
 // metricsServer returns a server for the metrics of the registry.
-func (s *Entry) metricsServer() *fasthttp.Server {
-	handler := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
-	return &fasthttp.Server{
-		Name: "samphirekeel", NoDefaultServerHeader: true,
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			switch string(ctx.Path()) {
-			case metricsPath:
-				handler(ctx)
-			case configPath:
-				s.serveConfig(ctx)
-			default:
-				ctx.SetStatusCode(fasthttp.StatusNotFound)
-			}
-		},
-	}
+func (s *Entry) metricsServer() *connection.Server {
+	handler := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxConcurrentScrapes}))
+	return s.probeServer(s.accounts.metrics, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case metricsPath:
+			handler(ctx)
+		case configPath:
+			s.serveConfig(ctx)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	})
 }
 
 // serveConfig serves the summary of the applied configuration to operators.
--- a/entry/site/stop.go
+++ b/entry/site/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/platform"
 )
@@ -33,21 +34,18 @@
 	return !s.stopping.Load() && s.config.Load() != nil && s.Now()-time.Duration(lastResponse) < maxAge
 }
 
-func (s *Entry) readinessServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Name: "samphirekeel", NoDefaultDate: true, NoDefaultServerHeader: true,
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) != platform.ReadyPath {
-				ctx.SetStatusCode(fasthttp.StatusNotFound)
-				return
-			}
-			ready := s.ready()
-			s.logReadinessChange(ready)
-			if !ready {
-				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			}
-		},
-	}
+func (s *Entry) readinessServer() *connection.Server {
+	return s.probeServer(s.accounts.readiness, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != platform.ReadyPath {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		ready := s.ready()
+		s.logReadinessChange(ready)
+		if !ready {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	})
 }
 
 // logReadinessChange logs when the entry becomes ready or stops being ready.
