--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -156,6 +156,9 @@
 
 func (s *Entry) serveSubmit(callCtx context.Context, ctx *fasthttp.RequestCtx, config checkedConfig, q *queue.Queue, from caller, id string) {
 	err := config.readBody(ctx)
+	if err == nil {
+		err = connection.Hold(ctx, platform.JobMemory(ctx.PostBody()))
+	}
 	if err == nil {
 		err = s.submitBody(callCtx, config, q, from, id, ctx.PostBody())
 	}
--- a/keel/work/job.go
+++ b/keel/work/job.go
@@ -147,7 +147,7 @@
 // The limits of a submission, so that one job can't exhaust the memory of an entry.
 const (
 	maxSpecBytes   = 4000
-	maxSteps       = 1000
+	MaxSteps       = 1000
 	maxTasks       = 100_000
 	maxOccurrences = 100_000
 )
@@ -159,8 +159,8 @@
 		return fault.New(fault.BadRequest, "spec: %d bytes, at most %d", len(j.Spec), maxSpecBytes)
 	case len(j.Steps) == 0:
 		return fault.New(fault.BadRequest, "steps: none given, at least 1 required")
-	case len(j.Steps) > maxSteps:
-		return fault.New(fault.BadRequest, "steps: %d, at most %d", len(j.Steps), maxSteps)
+	case len(j.Steps) > MaxSteps:
+		return fault.New(fault.BadRequest, "steps: %d, at most %d", len(j.Steps), MaxSteps)
 	case j.Occurrences < 0 || j.Occurrences > maxOccurrences:
 		return fault.New(fault.BadRequest, "occurrences: %d, must be from 0 to %d", j.Occurrences, maxOccurrences)
 	case j.Occurrences > 0 && (j.First < 0 || j.Interval < 0):
