site: read the stored jobs once for all callers that ask for pending ones

What callers saw: while no entry leads, each request for the number of a queue's pending jobs made its entry read all stored jobs; 100 requests beside 16 MB of them took 834 MB.

Cause: each request held a copy of its own.

--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -270,30 +270,3 @@
 	}
 	return viaStore, err
 }
-
-// pendingJobs returns the number of the queue's jobs of which no task has started, and whether it comes from the leader
-// or the store.
-func (s *Entry) pendingJobs(ctx context.Context, name string) (int, string, error) {
-	r, ok := s.queryLeader(ctx, methodPending, query{Name: name}, s.handlePending)
-	if ok {
-		return r.Pending, viaLeader, nil
-	}
-	contents, err := ledger.Load(ctx, s.Store)
-	if err != nil {
-		return 0, viaStore, fault.Wrap(fault.PlatformUnavailable, err, "number of pending jobs unavailable from the leader and the store").WithRetryAfter(retryAfter)
-	}
-	return countPending(contents, name), viaStore, nil
-}
-
-// countPending returns the number of the queue's jobs that have no stored start and are not cancelled.
-func countPending(c ledger.Contents, name string) int {
-	n := 0
-	for _, submission := range c.Jobs {
-		entry := c.JobRecords[submission.Job.ID]
-		started := entry.Outcome != nil || entry.Progress != nil && entry.Progress.Started
-		if submission.Job.Queue == name && !started && len(c.Cancels[submission.Job.ID]) == 0 {
-			n++
-		}
-	}
-	return n
-}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -129,6 +129,7 @@
 	// toldLeader is the latest leader that other entries have told this one, nil if none has.
 	toldLeader atomic.Pointer[leader.Record]
 	advisers   advisers
+	pending    pendingCounts
 	// sourceTurn selects the entry that is asked for the operator's rows; it rises when one can't tell.
 	sourceTurn int
 	// keyTime is how long after the last check of the configuration keys are relied on, in nanoseconds, 0 for ever.
