budget: let a connection wait until others have given memory back

Messages between entries are read only when there is memory for them; a link that is read later is worth more than one that is closed.

--- a/keel/budget/account.go
+++ b/keel/budget/account.go
@@ -52,6 +52,8 @@
 	mu   sync.Mutex
 	used int64
 	open int
+	// freed is closed when bytes are given back; nil if nobody waits for that.
+	freed chan struct{}
 	// waits holds the connections by their state if it isn't Busy, that which has been in it for longest first.
 	waits   [Busy]list.List
 	reports [len(limits)]report
@@ -78,44 +80,62 @@
 }
 
 // Add adds a connection that holds the bytes, in state Arriving, and returns false if there is no room for it. The connection must be
-// closed when evict is called, from any goroutine. A nil account has no limits.
+// closed when evict is called, from a goroutine of its own. A nil account has no limits.
 func (a *Account) Add(bytes int64, evict func()) (*Hold, bool) {
 	if a == nil {
 		return nil, true
 	}
-	h := &Hold{account: a, evict: evict, bytes: bytes}
 	a.mu.Lock()
-	evicted, ok := a.makeRoom(nil, bytes, a.Connections)
-	if ok {
-		a.open++
-		a.used += bytes
-		h.setState(Arriving)
+	defer a.mu.Unlock()
+	for a.Connections != 0 && a.open >= a.Connections {
+		if !a.evict(nil, ConnectionClosed) {
+			a.noteLocked(ConnectionRefused)
+			return nil, false
+		}
 	}
-	a.mu.Unlock()
-	closeAll(evicted)
-	return h, ok
+	if !a.makeRoom(nil, bytes) {
+		a.noteLocked(MemoryRefused)
+		return nil, false
+	}
+	h := &Hold{account: a, evict: evict, bytes: bytes}
+	a.open++
+	a.used += bytes
+	h.setState(Arriving)
+	return h, true
 }
 
-// makeRoom evicts connections other than except until a further number of bytes fits, and one more connection if connections isn't 0.
-// The caller calls evict of the connections that it returns, without holding mu.
-func (a *Account) makeRoom(except *Hold, bytes int64, connections int) ([]*Hold, bool) {
-	var evicted []*Hold
-	for {
-		closed, refused := MemoryClosed, MemoryRefused
-		switch {
-		case connections != 0 && a.open >= connections:
-			closed, refused = ConnectionClosed, ConnectionRefused
-		case a.used+bytes <= a.Bytes:
-			return evicted, true
-		}
-		victim := a.victim(except)
-		if victim == nil || except.size()+bytes > a.Bytes {
-			a.noteLocked(refused)
-			return evicted, false
+// makeRoom evicts connections other than except until a further number of bytes fits; it returns false if it can't.
+func (a *Account) makeRoom(except *Hold, bytes int64) bool {
+	if except.size()+bytes > a.Bytes {
+		return false
+	}
+	for a.used+bytes > a.Bytes {
+		if !a.evict(except, MemoryClosed) {
+			return false
 		}
-		a.noteLocked(closed)
-		victim.remove()
-		evicted = append(evicted, victim)
+	}
+	return true
+}
+
+// evict closes the connection other than except that has kept the entry waiting for longest, and returns false if there is none.
+func (a *Account) evict(except *Hold, limit Limit) bool {
+	victim := a.victim(except)
+	if victim == nil {
+		return false
+	}
+	a.noteLocked(limit)
+	victim.remove()
+	// Closing a connection may take a moment.
+	go victim.evict()
+	return true
+}
+
+// release gives bytes back and wakes those that wait for some.
+func (a *Account) release(bytes int64) {
+	a.used -= bytes
+	if a.freed != nil {
+		close(a.freed)
+		a.freed = nil
 	}
 }
 
@@ -146,12 +166,6 @@
 	return nil
 }
 
-func closeAll(evicted []*Hold) {
-	for _, h := range evicted {
-		h.evict()
-	}
-}
-
 // Note counts and logs that a limit has acted; a nil account does nothing.
 func (a *Account) Note(limit Limit) {
 	if a == nil {
--- a/keel/budget/account_test.go
+++ b/keel/budget/account_test.go
@@ -51,10 +51,12 @@
 	switch {
 	case s.Add != "":
 		hold, ok := p.account.Add(s.Bytes, func() { p.evicted = append(p.evicted, s.Add) })
+		synctest.Wait()
 		assert.Equal(t, ok, !s.Refused, "add %s", s.Add)
 		p.holds[s.Add] = hold
 	case s.Grow != "":
 		assert.Equal(t, p.holds[s.Grow].Grow(s.Bytes), !s.Refused, "grow %s", s.Grow)
+		synctest.Wait()
 	case s.Shrink != "":
 		p.holds[s.Shrink].Shrink(s.Bytes)
 	case s.State != "":
@@ -112,6 +114,26 @@
 	})
 }
 
+// Guards against messages that are dropped although those before them are about to be done.
+func TestGrowWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Bytes: 100}
+		first, _ := a.Add(100, nil)
+		first.SetState(Busy)
+		time.AfterFunc(time.Second, func() { first.Shrink(50) })
+		time.AfterFunc(2*time.Second, first.Close)
+		began := time.Now()
+		second, ok := a.Add(0, nil)
+		assert.Assert(t, ok)
+		assert.Assert(t, !second.GrowWithin(500*time.Millisecond, 60))
+		assert.Assert(t, second.GrowWithin(5*time.Second, 60))
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		assert.Assert(t, !second.GrowWithin(time.Hour, 101))
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		assert.Equal(t, a.Count(MemoryRefused), int64(2))
+	})
+}
+
 func TestNilAccountHasNoLimits(t *testing.T) {
 	var a *Account
 	hold, ok := a.Add(1<<40, nil)
--- a/keel/budget/hold.go
+++ b/keel/budget/hold.go
@@ -36,24 +36,55 @@
 }
 
 // Grow adds bytes before they are taken; it returns false, and adds none, if there is no room or the connection was evicted.
-func (h *Hold) Grow(bytes int64) bool {
+func (h *Hold) Grow(bytes int64) bool { return h.GrowWithin(0, bytes) }
+
+// GrowWithin is Grow that waits, for at most the timeout, until there is room.
+func (h *Hold) GrowWithin(timeout time.Duration, bytes int64) bool {
 	if h == nil {
 		return true
 	}
+	deadline := time.Now().Add(timeout)
+	for {
+		ok, freed := h.tryGrow(bytes)
+		remaining := time.Until(deadline)
+		if ok || freed == nil {
+			return ok
+		}
+		if remaining <= 0 {
+			h.Note(MemoryRefused)
+			return false
+		}
+		timer := time.NewTimer(remaining)
+		select {
+		case <-freed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// tryGrow adds the bytes if there is room for them, and otherwise returns a channel that is closed when there is more, nil if there can't
+// be enough.
+func (h *Hold) tryGrow(bytes int64) (bool, <-chan struct{}) {
 	a := h.account
 	a.mu.Lock()
-	if h.removed {
-		a.mu.Unlock()
-		return false
+	defer a.mu.Unlock()
+	switch {
+	case h.removed:
+		return false, nil
+	case bytes > a.Bytes:
+		a.noteLocked(MemoryRefused)
+		return false, nil
 	}
-	evicted, ok := a.makeRoom(h, bytes, 0)
-	if ok {
+	if a.makeRoom(h, bytes) {
 		h.bytes += bytes
 		a.used += bytes
+		return true, nil
+	}
+	if a.freed == nil {
+		a.freed = make(chan struct{})
 	}
-	a.mu.Unlock()
-	closeAll(evicted)
-	return ok
+	return false, a.freed
 }
 
 // Shrink gives bytes back.
@@ -65,7 +96,7 @@
 	defer h.account.mu.Unlock()
 	if !h.removed {
 		h.bytes -= bytes
-		h.account.used -= bytes
+		h.account.release(bytes)
 	}
 }
 
@@ -121,8 +152,8 @@
 func (h *Hold) remove() {
 	h.unlist()
 	h.removed = true
-	h.account.used -= h.bytes
 	h.account.open--
+	h.account.release(h.bytes)
 }
 
 // Note counts and logs that a limit has acted on the connection.
