connection: hold memory for a parsed header by the bytes of the header alone

A body that arrived with its header was counted as 32 times its bytes while the header was read, so that a request could be refused for want of memory that it doesn't take.

--- a/entry/connection/conn.go
+++ b/entry/connection/conn.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
@@ -97,7 +98,7 @@
 	if !c.inHeader.Load() {
 		return n, err
 	}
-	if n > 0 && !c.grow(headerFactor*int64(n)) {
+	if n > 0 && !c.grow(headerFactor*int64(headerLength(data[:n]))) {
 		return 0, errNoMemory
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -106,6 +107,15 @@
 	return n, err
 }
 
+// headerLength returns how many of the bytes are part of a header, if its end is among them.
+func headerLength(data []byte) int {
+	end := bytes.Index(data, []byte("\r\n\r\n"))
+	if end < 0 {
+		return len(data)
+	}
+	return end
+}
+
 // beginHeader sets the deadline for the header of a request whose first byte has arrived.
 func (c *Conn) beginHeader() {
 	c.inRequest.Store(true)
