peer: hold the memory of messages from their first byte to the response

What callers saw: clients of the port for other entries could open connections until the process had no descriptors left, and make it hold messages of 8 MB each, their decoded form, which can be 80 times as large, or requests without a limit while the store doesn't respond.

Cause: the size of a message was limited, and nothing limited their number, their decoded form, and the requests in service.

Change: the connections that peers open have an account. A message takes its memory as it arrives, an estimate of its decoded form before it is decoded, and gives both back with the response. Links that an entry opens itself are as before.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -240,7 +240,7 @@
 	s.loop = control.New(maxConcurrentCalls)
 	s.jobs = &ledger.JobStore{Store: s.Store}
 	s.submissions = &ledger.SubmissionWriter{Store: s.Store, RowBytes: s.Settings.Store.RowBytes}
-	s.node = &peer.Node{Log: s.Log, Dial: s.Dial, Timeout: peerTimeout, Methods: s.methods()}
+	s.node = &peer.Node{Log: s.Log, Dial: s.Dial, Timeout: peerTimeout, Methods: s.methods(), Account: s.accounts.peers}
 	s.lease = &leader.Lease{
 		Store: s.Store, Loop: s.loop, Log: s.Log, Name: s.Settings.Name, Address: s.peerAddress(), Rank: s.rank(),
 		Now: s.Now, OnAcquired: s.startLeading, OnLost: s.stopLeading,
--- a/keel/budget/hold.go
+++ b/keel/budget/hold.go
@@ -38,6 +38,9 @@
 // Grow adds bytes before they are taken; it returns false, and adds none, if there is no room or the connection was evicted.
 func (h *Hold) Grow(bytes int64) bool { return h.GrowWithin(0, bytes) }
 
+// growInterval is the interval at which GrowWithin looks for slow connections.
+const growInterval = 100 * time.Millisecond
+
 // GrowWithin is Grow that waits, for at most the timeout, until there is room.
 func (h *Hold) GrowWithin(timeout time.Duration, bytes int64) bool {
 	if h == nil {
@@ -54,7 +57,8 @@
 			h.Note(MemoryRefused)
 			return false
 		}
-		timer := time.NewTimer(remaining)
+		// A connection may become slow enough to be closed without any giving memory back.
+		timer := time.NewTimer(min(remaining, growInterval))
 		select {
 		case <-freed:
 		case <-timer.C:
--- a/keel/peer/codec.go
+++ b/keel/peer/codec.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
 )
 
@@ -34,6 +35,8 @@
 	sentResponse *jsonrpc2.Response
 	// received holds the parameters of the request that is being received, nil for a response.
 	received json.RawMessage
+	// inbound holds the memory of requests that are received, nil if there is no limit.
+	inbound *inbound
 }
 
 // Attachment holds the parameters of a request in another form than JSON; it is sent after the message. Only peers that
@@ -116,14 +119,29 @@
 	return nil
 }
 
-// ReadObject reads one message and fails if it is larger than maxMessageBytes.
+// ReadObject reads one message and fails if it is larger than maxMessageBytes, or if there is no memory for it.
 func (c *codec) ReadObject(stream *bufio.Reader, v any) error {
 	c.received = nil
+	_, err := stream.Peek(1)
+	if err != nil {
+		return err
+	}
+	c.inbound.begin()
+	err = c.readMessage(stream, v)
+	c.inbound.read()
+	return err
+}
+
+func (c *codec) readMessage(stream *bufio.Reader, v any) error {
 	length, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
 	}
-	body, err := readBytes(stream, length)
+	body, err := c.readBytes(stream, length)
+	if err != nil {
+		return err
+	}
+	err = c.inbound.grow(budget.JSONBytes(body))
 	if err != nil {
 		return err
 	}
@@ -140,7 +158,7 @@
 	}
 	c.received = request.Params
 	if request.AttachedBytes != 0 {
-		c.received, err = readBytes(stream, uint64(request.AttachedBytes))
+		c.received, err = c.readBytes(stream, uint64(request.AttachedBytes))
 		if err != nil {
 			return err
 		}
@@ -162,14 +180,26 @@
 	return json.Unmarshal(body, v)
 }
 
-// readBytes reads the bytes of one message. It allocates memory only as bytes arrive, so that a false length takes none.
-func readBytes(stream *bufio.Reader, length uint64) ([]byte, error) {
+// readBytes reads the bytes of one message or attachment. It takes memory only as bytes arrive, so that a false length takes none.
+func (c *codec) readBytes(stream *bufio.Reader, length uint64) ([]byte, error) {
 	if length > maxMessageBytes {
 		return nil, fault.New(fault.TooLarge, "peer message too large: %d bytes", length)
 	}
-	var body bytes.Buffer
-	_, err := io.CopyN(&body, stream, int64(length))
-	return body.Bytes(), err
+	var body []byte
+	for len(body) < int(length) {
+		larger := min(int(length), max(firstMessageBytes, 2*len(body)))
+		err := c.inbound.grow(int64(larger))
+		if err != nil {
+			return nil, err
+		}
+		read := len(body)
+		body = append(make([]byte, 0, larger), body...)[:larger]
+		_, err = io.ReadFull(stream, body[read:])
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
 }
 
 // timedConn applies a timeout to each read and each write.
--- a/keel/peer/link.go
+++ b/keel/peer/link.go
@@ -75,7 +75,7 @@
 		n.recordFailure(l)
 		return nil, fault.Wrap(fault.NotReady, err, "connect to peer %s", address)
 	}
-	conn := n.newConn(ctx, raw)
+	conn := n.newConn(ctx, raw, nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.opening = nil
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/claim"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
@@ -48,6 +49,8 @@
 	OnJobsChanged func(pool string)
 	// Methods holds further methods by name.
 	Methods map[string]Method
+	// Account holds the memory of the connections that peers open; nil means that there is no limit.
+	Account *budget.Account
 
 	rowResponses atomic.Int64
 
@@ -106,12 +109,17 @@
 			}
 			return fault.Wrap(fault.Internal, err, "accept peer")
 		}
-		n.trackAccepted(n.newConn(ctx, conn))
+		hold, ok := n.Account.Add(connBytes, func() { _ = conn.Close() })
+		if !ok {
+			_ = conn.Close()
+			continue
+		}
+		n.trackAccepted(n.newConn(ctx, conn, &inbound{hold: hold, timeout: readTimeoutFactor * n.Timeout}), hold)
 	}
 }
 
 // trackAccepted records an accepted connection until it is closed, so that Close closes it.
-func (n *Node) trackAccepted(conn *jsonrpc2.Conn) {
+func (n *Node) trackAccepted(conn *jsonrpc2.Conn, hold *budget.Hold) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.accepted == nil {
@@ -120,53 +128,59 @@
 	n.accepted[conn] = true
 	go func() {
 		<-conn.DisconnectNotify()
+		hold.Close()
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(n.accepted, conn)
 	}()
 }
 
-func (n *Node) newConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
+func (n *Node) newConn(ctx context.Context, conn net.Conn, in *inbound) *jsonrpc2.Conn {
 	timed := &timedConn{Conn: conn, readTimeout: readTimeoutFactor * n.Timeout, writeTimeout: n.Timeout}
-	c := &codec{}
+	c := &codec{inbound: in}
 	stream := jsonrpc2.NewBufferedStream(timed, c)
 	// jsonrpc2 drops a late response by its ID, and would write a line to standard error for each.
 	noLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-	return jsonrpc2.NewConn(ctx, stream, handler{HandlerWithErrorConfigurer: jsonrpc2.HandlerWithError(n.handle), node: n}, noLog, jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive))
+	return jsonrpc2.NewConn(ctx, stream, handler{HandlerWithErrorConfigurer: jsonrpc2.HandlerWithError(n.handle), node: n, inbound: in}, noLog, jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive))
 }
 
 // handler serves the heartbeats of a connection in the order of arrival and all other requests concurrently.
 type handler struct {
 	*jsonrpc2.HandlerWithErrorConfigurer
-	node *Node
+	node    *Node
+	inbound *inbound
 }
 
 // Handle serves one request.
 func (h handler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	served := h.inbound.serve()
 	if request.Method == MethodHeartbeat {
+		defer served()
 		h.HandlerWithErrorConfigurer.Handle(ctx, conn, request)
 		return
 	}
-	if request.Method == MethodRows {
-		h.handleRows(ctx, conn, request)
-		return
-	}
-	go h.HandlerWithErrorConfigurer.Handle(ctx, conn, request)
+	go func() {
+		defer served()
+		if request.Method == MethodRows {
+			h.handleRows(ctx, conn, request)
+			return
+		}
+		h.HandlerWithErrorConfigurer.Handle(ctx, conn, request)
+	}()
 }
 
 // handleRows limits the concurrent responses with rows, each of which holds memory until its peer has read it.
 // A rejected peer retries, here or at another peer.
 func (h handler) handleRows(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	if h.node.rowResponses.Add(1) > maxConcurrentRowResponses {
+	concurrent := h.node.rowResponses.Add(1)
+	if concurrent > maxConcurrentRowResponses {
 		h.node.rowResponses.Add(-1)
-		busy := &jsonrpc2.Error{Code: codeBusy, Message: "too many concurrent requests for rows"}
-		go func() { _ = conn.ReplyWithError(ctx, request.ID, busy) }()
+		// The peer finds out by its timeout if the response can't be sent.
+		_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: codeBusy, Message: "too many concurrent requests for rows"})
 		return
 	}
-	go func() {
-		defer h.node.rowResponses.Add(-1)
-		h.HandlerWithErrorConfigurer.Handle(ctx, conn, request)
-	}()
+	defer h.node.rowResponses.Add(-1)
+	h.HandlerWithErrorConfigurer.Handle(ctx, conn, request)
 }
 
 func (n *Node) handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
