daemon: hold the memory of the clients of all listeners

What callers saw: clients of an entry with settings of its own could make it hold connections times limits.body_bytes, from callers and, before any token is checked, on the listener of operators; open connections there and on the listener for peers until the process had no descriptors left; hold messages between entries without end; and keep all callers' connections without sending anything.

Cause: as on the platform: limits of each connection, and nobody who owned the sum. limits.connections was the only bound on their number.

Change: the listeners have accounts, as on the platform, of limits.memory_mb (512) and limits.descriptors (those of the process); clients have limits.write_timeout (10s) to read each part of a response. Four requests for the metrics are served at a time. What the client hasn't received is held with the connection.

--- a/entry/config/check.go
+++ b/entry/config/check.go
@@ -53,6 +53,11 @@
 	check.positive("platform.timeout", int64(c.Platform.Timeout))
 	check.positive("limits.body_bytes", int64(c.Limits.BodyBytes))
 	check.positive("limits.connections", int64(c.Limits.Connections))
+	check.positive("limits.memory_mb", int64(c.Limits.MemoryMB))
+	check.positive("limits.write_timeout", int64(c.Limits.WriteTimeout))
+	if c.Limits.Descriptors < 0 {
+		check.addProblem("limits.descriptors", "must not be below zero")
+	}
 	check.positive("limits.drain_timeout", int64(c.Limits.DrainTimeout))
 	if c.Limits.StopGrace < 0 {
 		check.addProblem("limits.stop_grace", "must not be below zero")
--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -57,6 +57,12 @@
 	BodyBytes int `json:"body_bytes"`
 	// Connections is the maximum number of callers' connections.
 	Connections int `json:"connections"`
+	// MemoryMB is the memory that the process may use; clients may make it hold a part of that.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the maximum number of open files and connections, 0 for that of the process.
+	Descriptors int `json:"descriptors"`
+	// WriteTimeout is the time within which a client has to read each part of a response.
+	WriteTimeout Duration `json:"write_timeout"`
 	// DrainTimeout is the longest time that a stopping entry waits for requests in flight.
 	DrainTimeout Duration `json:"drain_timeout"`
 	// StopGrace is the time for which a stopping entry, which reports that it is not ready, still accepts connections.
@@ -82,6 +88,8 @@
 	defaultPlatformTimeout = 2 * time.Second
 	defaultBodyBytes       = 1 << 20
 	defaultConnections     = 4096
+	defaultMemoryMB        = 512
+	defaultWriteTimeout    = 10 * time.Second
 	defaultDrainTimeout    = 30 * time.Second
 	defaultStopGrace       = 2 * time.Second
 )
@@ -92,7 +100,7 @@
 		Log:      Log{Format: "json", Level: "info"},
 		Limits: Limits{
 			BodyBytes: defaultBodyBytes, Connections: defaultConnections, DrainTimeout: Duration(defaultDrainTimeout),
-			StopGrace: Duration(defaultStopGrace),
+			StopGrace: Duration(defaultStopGrace), MemoryMB: defaultMemoryMB, WriteTimeout: Duration(defaultWriteTimeout),
 		},
 	}
 }
--- a/entry/connection/conn.go
+++ b/entry/connection/conn.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// requestBytes is what a request holds besides its header and its bodies: the kernel's queues in both directions.
-	requestBytes = 2 * SocketQueueBytes
 	// headerFactor is how much larger than its bytes a header can be once it is parsed: a field of 4 bytes takes an entry of 56 bytes, in
 	// a list that may have twice its length, and two texts of 8 bytes.
 	headerFactor = 32
@@ -43,14 +41,18 @@
 	net.Conn
 	hold     *budget.Hold
 	timeouts Timeouts
+	queues   Queues
 
 	// inRequest is set from the first byte of a request until its response was written.
 	inRequest atomic.Bool
 	// inHeader is set while a header is being read.
 	inHeader atomic.Bool
-	// held is what the request in progress holds, in bytes.
+	// held is what the request in progress holds, in bytes, and unsent what the client hadn't received of the responses to the ones before.
 	held    atomic.Int64
+	unsent  int64
 	evicted atomic.Bool
+	// handlerHolds is set if the handler holds memory for the response itself.
+	handlerHolds atomic.Bool
 	// unread is set if the connection is closed before the request was read.
 	unread atomic.Bool
 
@@ -76,6 +78,9 @@
 	return true
 }
 
+// requestBytes returns what a request holds besides its header and its bodies: what the kernel queues while nothing is read.
+func (c *Conn) requestBytes() int64 { return int64(kernelFactor * c.queues.Received) }
+
 // release gives back a part of what the request in progress holds.
 func (c *Conn) release(bytes int64) {
 	c.hold.Shrink(bytes)
@@ -91,7 +96,7 @@
 	if n > 0 && c.inRequest.CompareAndSwap(false, true) {
 		c.inHeader.Store(true)
 		c.hold.SetState(budget.Arriving)
-		if !c.grow(requestBytes) {
+		if !c.grow(c.requestBytes()) {
 			return 0, errNoMemory
 		}
 	}
@@ -128,16 +133,22 @@
 func (c *Conn) endHeader(parsedBytes int64) bool {
 	c.inHeader.Store(false)
 	c.release(c.held.Load())
-	return c.grow(requestBytes + parsedBytes)
+	return c.grow(c.requestBytes() + parsedBytes)
 }
 
 // endRequest gives back what the request has held.
 func (c *Conn) endRequest() {
 	c.inHeader.Store(false)
 	c.unread.Store(false)
+	c.handlerHolds.Store(false)
 	c.release(c.held.Load())
 	c.hold.SetState(budget.Idle)
 	c.inRequest.Store(false)
+	c.hold.Shrink(c.unsent)
+	c.unsent = min(unsent(c.Conn), int64(kernelFactor*c.queues.Sent))
+	if !c.hold.Grow(c.unsent) {
+		c.evict()
+	}
 }
 
 // SetReadDeadline sets the deadline of reads. During a request, the server sets none for the header, for which that of beginHeader
--- a/entry/connection/server.go
+++ b/entry/connection/server.go
@@ -42,8 +42,12 @@
 	// Account holds the connections; nil means that there is no limit.
 	Account  *budget.Account
 	Timeouts Timeouts
+	// Queues are those that the listener was opened with.
+	Queues Queues
 	// HeaderBytes is the size of the buffer for a header, 0 for a small one.
 	HeaderBytes int
+	// RequestBytes is what a request holds besides its header and bodies, in bytes.
+	RequestBytes int64
 	// MaxHeader returns the maximum size of a header in bytes, 0 for that of its buffer; nil is like 0.
 	MaxHeader func() int
 	// MaxBody returns the size in bytes above which a body is refused by ReadBody, whatever limit that is given.
@@ -63,7 +67,7 @@
 		// The body is read by ReadBody; the server itself reads one byte of it.
 		StreamRequestBody: true, MaxRequestBodySize: 1, DisablePreParseMultipartForm: true,
 	}
-	limited := &Limited{Listener: listener, Account: s.Account, ConnBytes: int64(connBytes + buffer), Timeouts: s.Timeouts}
+	limited := &Limited{Listener: listener, Account: s.Account, ConnBytes: int64(connBytes + buffer), Timeouts: s.Timeouts, Queues: s.Queues}
 	return server.Serve(limited)
 }
 
@@ -124,7 +128,7 @@
 	size, fields := len(header.RawHeaders())+len(header.RequestURI()), header.Len()
 	large := size > maxKeptHeaderBytes || fields > maxKeptFields
 	switch {
-	case !client.endHeader(int64(headerCopies*size + fieldBytes*fields)):
+	case !client.endHeader(s.RequestBytes + int64(headerCopies*size+fieldBytes*fields)):
 		s.Reject(ctx, errNoMemory)
 	case s.MaxHeader != nil && s.MaxHeader() > 0 && size > s.MaxHeader():
 		s.Reject(ctx, fault.New(fault.BadRequest, "header of %d bytes, at most %d allowed", size, s.MaxHeader()))
@@ -147,11 +151,11 @@
 
 // holdResponse holds memory for the response until it has been written. Small ones are part of connBytes.
 func (s *Server) holdResponse(ctx *fasthttp.RequestCtx, client *Conn) {
-	if ctx.Response.IsBodyStream() {
+	if ctx.Response.IsBodyStream() || client.handlerHolds.Load() {
 		return
 	}
 	size := len(ctx.Response.Body())
-	if size > smallBufferBytes && !client.grow(int64(size)) {
+	if size > smallBufferBytes && !client.grow(int64(size+min(size, kernelFactor*client.queues.Sent))) {
 		// The request may have run.
 		s.Reject(ctx, fault.Wrap(fault.OutcomeUnknown, errNoMemory, "response of %d bytes discarded", size))
 	}
@@ -253,3 +257,9 @@
 	}
 	return nil
 }
+
+// HoldResponse is Hold for the body of the response, for which the server then holds no memory of its own.
+func HoldResponse(ctx *fasthttp.RequestCtx, bytes int64) error {
+	clientOf(ctx).handlerHolds.Store(true)
+	return Hold(ctx, bytes)
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -10,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"samphirekeel.example/entry/config"
@@ -62,7 +61,7 @@
 	// Version is the program's version as it appears in the log.
 	Version string
 	// Listen opens a listener; nil selects TCP.
-	Listen func(address string) (net.Listener, error)
+	Listen func(address string, queues connection.Queues) (net.Listener, error)
 	// Dial opens a connection within the timeout; nil selects TCP.
 	Dial upstream.DialFunc
 	// Client calls the platform; nil selects HTTP to the address in the settings.
@@ -90,6 +89,7 @@
 	heartbeat     atomic.Pointer[peer.Heartbeat]
 	ready         atomic.Bool
 	stopping      atomic.Bool
+	accounts      clientAccounts
 	callerConns   connection.Set
 	operatorConns connection.Set
 	// startedAt is the time at which the control loop started.
@@ -144,7 +144,7 @@
 	d.platformMeter.Link = "platform"
 	d.peerMeter.Link = "peer"
 	if d.Listen == nil {
-		d.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		d.Listen = connection.Listen
 	}
 	if d.Dial == nil {
 		d.Dial = dialTCP
@@ -161,12 +161,13 @@
 func (d *Daemon) build() {
 	incarnation := fmt.Sprintf("%s-%d", d.Config.Name, time.Now().UnixNano())
 	d.registry = newRegistry()
+	d.buildAccounts()
 	d.Client = platform.NewMetrics(d.registry).Client(d.Client)
 	d.loop = control.New(controlWorkers)
 	d.loop.Phase = time.Duration(xxhash.Sum64String(d.Config.Name) % uint64(maxLoopPhase))
 	d.view = fleet.NewView()
 	d.router = &route.Router{
-		Log: d.Log, DataCentre: d.Config.DataCentre, Dial: d.Dial, Random: d.Random,
+		Log: d.Log, DataCentre: d.Config.DataCentre, Dial: d.dialEndpoint, Random: d.Random,
 		Capacity: int64(d.Config.Limits.Connections), Metrics: route.NewMetrics(d.registry), Current: d.replicaCurrent,
 	}
 	d.session = &duty.Session{
@@ -179,7 +180,7 @@
 		NewIncarnation: d.newIncarnation,
 	}
 	d.node = &peer.Node{
-		Log: d.Log, Dial: d.dialPeer, Timeout: peerTimeout,
+		Log: d.Log, Dial: d.dialPeer, Timeout: peerTimeout, Account: d.accounts.peers,
 		Heartbeat: func() peer.Heartbeat { return *d.heartbeat.Load() },
 		OnHeartbeat: func(heartbeat peer.Heartbeat) {
 			d.loop.Post(context.Background(), func() { d.receiveHeartbeat(heartbeat) })
@@ -195,7 +196,7 @@
 	d.gateway = &gateway.Gateway{
 		Router: d.router, Log: d.Log,
 		Claims: d.claims, Sequences: &sequence.Service{Client: d.Client, Claims: d.claims},
-		Jobs: (&gateway.Jobs{Service: d.jobService, Router: d.router, Log: d.Log}).Handle,
+		Jobs:         (&gateway.Jobs{Service: d.jobService, Router: d.router, Log: d.Log}).Handle,
 	}
 }
 
@@ -237,15 +238,6 @@
 	d.loop.Every(instanceSizesInterval, d.publishInstanceSizes)
 }
 
-func (d *Daemon) callerServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: d.serveCaller, Name: "samphirekeel", ConnState: d.callerConns.Track,
-		MaxRequestBodySize: d.Config.Limits.BodyBytes, Concurrency: d.Config.Limits.Connections,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		NoDefaultDate: true, ErrorHandler: gateway.RejectMalformed,
-	}
-}
-
 // readView runs f on the control loop and waits for it; it fails with kind NotReady if ctx ends first.
 func (d *Daemon) readView(ctx context.Context, f func(*fleet.View)) error {
 	done := make(chan struct{})
@@ -261,6 +253,16 @@
 	}
 }
 
+// dialEndpoint opens a connection to an endpoint, of which the kernel queues no more than of a client's.
+func (d *Daemon) dialEndpoint(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := d.Dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	connection.LimitQueues(conn, connection.ClientQueues)
+	return conn, nil
+}
+
 func (d *Daemon) dialPeer(address string, timeout time.Duration) (net.Conn, error) {
 	conn, err := d.Dial(address, timeout)
 	if err != nil {
--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirekeel.example/entry/config"
+	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/accept"
 	"samphirekeel.example/keel/fault"
 )
@@ -17,7 +18,7 @@
 
 // CheckListen fails with kind Usage, and lists each setting whose address the entry cannot listen on now.
 func CheckListen(addresses config.Listen) error {
-	opened, err := listenAll(func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, addresses, func(string, error, time.Duration) {})
+	opened, err := listenAll(connection.Listen, addresses, func(string, error, time.Duration) {})
 	if err != nil {
 		return err
 	}
@@ -27,18 +28,19 @@
 
 // listenAll opens all listeners or none; its error lists every setting whose address cannot be listened on. onError is called with
 // the errors of accept, which are retried.
-func listenAll(listen func(string) (net.Listener, error), addresses config.Listen, onError func(setting string, err error, delay time.Duration)) (*listeners, error) {
+func listenAll(listen func(string, connection.Queues) (net.Listener, error), addresses config.Listen, onError func(setting string, err error, delay time.Duration)) (*listeners, error) {
 	opened := &listeners{}
 	var problems []string
 	for _, spec := range []struct {
 		setting, address string
+		queues           connection.Queues
 		into             *net.Listener
 	}{
-		{"listen.callers", addresses.Callers, &opened.callers},
-		{"listen.operators", addresses.Operators, &opened.operators},
-		{"listen.peers", addresses.Peers, &opened.peers},
+		{"listen.callers", addresses.Callers, connection.ClientQueues, &opened.callers},
+		{"listen.operators", addresses.Operators, connection.ClientQueues, &opened.operators},
+		{"listen.peers", addresses.Peers, connection.PeerQueues, &opened.peers},
 	} {
-		listener, err := listen(spec.address)
+		listener, err := listen(spec.address, spec.queues)
 		if err != nil {
 			problems = append(problems, spec.setting+": "+err.Error())
 			continue
--- a/entry/daemon/operators.go
+++ b/entry/daemon/operators.go
@@ -6,8 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/valyala/fasthttp"
 
+	"samphirekeel.example/entry/connection"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/fleet"
 	"samphirekeel.example/keel/gateway"
@@ -25,7 +25,7 @@
 	return registry
 }
 
-func (d *Daemon) operatorServer() *fasthttp.Server {
+func (d *Daemon) operatorServer() *connection.Server {
 	d.platformMeter.Register(d.registry)
 	d.peerMeter.Register(d.registry)
 	d.registerGauges()
@@ -41,10 +41,9 @@
 		Jobs:              d.jobService,
 		OnSettingsChanged: func() { d.loop.Post(context.Background(), d.fetchRows) },
 	}
-	return &fasthttp.Server{
-		Handler: api.Handler(), Name: "samphirekeel", ConnState: d.operatorConns.Track,
-		ErrorHandler: gateway.RejectMalformed, NoDefaultDate: true,
-		MaxRequestBodySize: d.Config.Limits.BodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	return &connection.Server{
+		Handler: d.withBody(holdDecoded(api.Handler())), Reject: gateway.RejectMalformed, Set: &d.operatorConns, Account: d.accounts.operators,
+		Timeouts: d.timeouts(), Queues: connection.ClientQueues, MaxBody: d.maxBody,
 	}
 }
 
--- a/entry/site/clients.go
+++ b/entry/site/clients.go
@@ -30,16 +30,12 @@
 )
 
 const (
-	// reservedDescriptors is the number of descriptors that the platform reserves for files.
-	reservedDescriptors = 200
-	// callerDescriptors and peerDescriptors are the parts of the other descriptors for connections of callers and of peers, and
+	// callerDescriptors and peerDescriptors are the parts of the process's descriptors for connections of callers and of peers, and
 	// probeDescriptors that for readiness probes and for readers of metrics each. The rest is for the store, the instance service and
 	// workers.
 	callerDescriptors = 2.0 / 3
 	peerDescriptors   = 1.0 / 8
 	probeDescriptors  = 1.0 / 48
-	// minConnections is the least limit of connections, however few descriptors there are.
-	minConnections = 8
 )
 
 // clientAccounts hold the memory of the clients of each listener.
@@ -53,23 +49,16 @@
 	if s.Settings.Limits.MemoryMB > 0 {
 		memory.Bytes = int64(s.ClientMemoryShare * float64(s.Settings.Limits.MemoryMB) * (1 << 20))
 	}
+	connections := func(part float64) int { return connection.MaxConnections(s.Settings.Limits.Descriptors, part) }
 	s.accounts = clientAccounts{
-		callers:   memory.Account("callers", callerMemory, s.maxConnections(callerDescriptors)),
-		peers:     memory.Account("peers", peerMemory, s.maxConnections(peerDescriptors)),
-		readiness: memory.Account("readiness", readinessMemory, s.maxConnections(probeDescriptors)),
-		metrics:   memory.Account("metrics", metricsMemory, s.maxConnections(probeDescriptors)),
+		callers:   memory.Account("callers", callerMemory, connections(callerDescriptors)),
+		peers:     memory.Account("peers", peerMemory, connections(peerDescriptors)),
+		readiness: memory.Account("readiness", readinessMemory, connections(probeDescriptors)),
+		metrics:   memory.Account("metrics", metricsMemory, connections(probeDescriptors)),
 	}
 	memory.Register(s.registry)
 }
 
-// maxConnections returns the maximum number of open connections of a listener that may use the part of the descriptors, 0 for no limit.
-func (s *Entry) maxConnections(part float64) int {
-	if s.Settings.Limits.Descriptors == 0 {
-		return 0
-	}
-	return max(minConnections, int(part*float64(s.Settings.Limits.Descriptors-reservedDescriptors)))
-}
-
 // timeouts returns the timeouts of clients' connections.
 func (s *Entry) timeouts() connection.Timeouts {
 	return connection.Timeouts{Idle: s.idleTimeout, Header: s.headerTimeout, Body: bodyTimeout, Write: s.WriteTimeout}
@@ -113,7 +102,7 @@
 func (s *Entry) callerServer() *connection.Server {
 	return &connection.Server{
 		Handler: s.serveCaller, Reject: rejectUnreadable, Set: &s.conns, Account: s.accounts.callers, Timeouts: s.timeouts(),
-		HeaderBytes: connection.HeaderBufferBytes, MaxHeader: s.maxHeader, MaxBody: s.maxBody,
+		Queues: connection.CallerQueues, HeaderBytes: connection.HeaderBufferBytes, MaxHeader: s.maxHeader, MaxBody: s.maxBody,
 	}
 }
 
@@ -122,7 +111,7 @@
 	idle := func() time.Duration { return defaultIdleTimeout }
 	header := func() time.Duration { return defaultHeaderTimeout }
 	return &connection.Server{
-		Handler: handler, Reject: rejectUnreadable, Set: &connection.Set{}, Account: account,
+		Handler: handler, Reject: rejectUnreadable, Set: &connection.Set{}, Account: account, Queues: connection.ClientQueues,
 		Timeouts: connection.Timeouts{Idle: idle, Header: header, Body: bodyTimeout, Write: s.WriteTimeout},
 		MaxBody:  func() int { return 0 },
 	}
--- a/entry/site/listen.go
+++ b/entry/site/listen.go
@@ -9,7 +9,6 @@
 	"samphirekeel.example/keel/accept"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
-	"samphirekeel.example/keel/peer"
 )
 
 // listeners are the listeners of one entry; metrics is nil if no metrics are served.
@@ -22,19 +21,19 @@
 	open := &listeners{}
 	addresses := []struct {
 		name, address string
-		queueBytes    int
+		queues        connection.Queues
 		listener      *net.Listener
 	}{
-		{"callers", s.Settings.Callers, connection.SocketQueueBytes, &open.callers},
-		{"the load balancer", s.Settings.Readiness, connection.SocketQueueBytes, &open.readiness},
-		{"peers", s.peerAddress(), peer.SocketQueueBytes, &open.peers},
-		{"metrics", s.metricsAddress(), connection.SocketQueueBytes, &open.metrics},
+		{"callers", s.Settings.Callers, connection.CallerQueues, &open.callers},
+		{"the load balancer", s.Settings.Readiness, connection.ClientQueues, &open.readiness},
+		{"peers", s.peerAddress(), connection.PeerQueues, &open.peers},
+		{"metrics", s.metricsAddress(), connection.ClientQueues, &open.metrics},
 	}
 	for _, a := range addresses {
 		if a.address == "" {
 			continue
 		}
-		listener, err := s.Listen(a.address, a.queueBytes)
+		listener, err := s.Listen(a.address, a.queues)
 		if err != nil {
 			open.close()
 			return nil, fault.Wrap(fault.Usage, err, "listen for %s", a.name)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -94,9 +94,8 @@
 	ClientMemoryShare float64
 	// WriteTimeout is the time within which a client has to read each part of a response, 0 for the default.
 	WriteTimeout time.Duration
-	// Listen opens a listener for whose connections the kernel queues at most queueBytes in each direction, and Dial a connection within
-	// the timeout; both default to TCP if nil.
-	Listen func(address string, queueBytes int) (net.Listener, error)
+	// Listen opens a listener and Dial a connection within the timeout; both default to TCP if nil.
+	Listen func(address string, queues connection.Queues) (net.Listener, error)
 	Dial   func(address string, timeout time.Duration) (net.Conn, error)
 	// Now is a monotonic clock that includes time suspended, Wall the time since the Unix epoch; both default to the
 	// system's clocks if nil.
--- a/keel/budget/account.go
+++ b/keel/budget/account.go
@@ -80,54 +80,73 @@
 }
 
 // Add adds a connection that holds the bytes, in state Arriving, and returns false if there is no room for it. The connection must be
-// closed when evict is called, from a goroutine of its own. A nil account has no limits.
+// closed when evict is called, from any goroutine. A nil account has no limits.
 func (a *Account) Add(bytes int64, evict func()) (*Hold, bool) {
 	if a == nil {
 		return nil, true
 	}
+	h := &Hold{account: a, evict: evict, bytes: bytes}
+	evicted, ok := a.add(h)
+	closeAll(evicted)
+	return h, ok
+}
+
+func (a *Account) add(h *Hold) ([]*Hold, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var evicted []*Hold
 	for a.Connections != 0 && a.open >= a.Connections {
-		if !a.evict(nil, ConnectionClosed) {
+		victim := a.remove(nil, ConnectionClosed)
+		if victim == nil {
 			a.noteLocked(ConnectionRefused)
-			return nil, false
+			return evicted, false
 		}
+		evicted = append(evicted, victim)
 	}
-	if !a.makeRoom(nil, bytes) {
+	more, ok := a.makeRoom(nil, h.bytes)
+	evicted = append(evicted, more...)
+	if !ok {
 		a.noteLocked(MemoryRefused)
-		return nil, false
+		return evicted, false
 	}
-	h := &Hold{account: a, evict: evict, bytes: bytes}
 	a.open++
-	a.used += bytes
+	a.used += h.bytes
 	h.setState(Arriving)
-	return h, true
+	return evicted, true
 }
 
-// makeRoom evicts connections other than except until a further number of bytes fits; it returns false if it can't.
-func (a *Account) makeRoom(except *Hold, bytes int64) bool {
+// closeAll closes connections that were removed; mu must not be held.
+func closeAll(evicted []*Hold) {
+	for _, h := range evicted {
+		h.evict()
+	}
+}
+
+// makeRoom removes connections other than except, which the caller closes, until a further number of bytes fits; it returns false if they
+// can't.
+func (a *Account) makeRoom(except *Hold, bytes int64) ([]*Hold, bool) {
 	if except.size()+bytes > a.Bytes {
-		return false
+		return nil, false
 	}
+	var evicted []*Hold
 	for a.used+bytes > a.Bytes {
-		if !a.evict(except, MemoryClosed) {
-			return false
+		victim := a.remove(except, MemoryClosed)
+		if victim == nil {
+			return evicted, false
 		}
+		evicted = append(evicted, victim)
 	}
-	return true
+	return evicted, true
 }
 
-// evict closes the connection other than except that has kept the entry waiting for longest, and returns false if there is none.
-func (a *Account) evict(except *Hold, limit Limit) bool {
+// remove removes the connection other than except that has kept the entry waiting for longest; it returns nil if there is none.
+func (a *Account) remove(except *Hold, limit Limit) *Hold {
 	victim := a.victim(except)
-	if victim == nil {
-		return false
+	if victim != nil {
+		a.noteLocked(limit)
+		victim.remove()
 	}
-	a.noteLocked(limit)
-	victim.remove()
-	// Closing a connection may take a moment.
-	go victim.evict()
-	return true
+	return victim
 }
 
 // release gives bytes back and wakes those that wait for some.
--- a/keel/budget/hold.go
+++ b/keel/budget/hold.go
@@ -70,25 +70,32 @@
 // tryGrow adds the bytes if there is room for them, and otherwise returns a channel that is closed when there is more, nil if there can't
 // be enough.
 func (h *Hold) tryGrow(bytes int64) (bool, <-chan struct{}) {
+	evicted, ok, freed := h.tryGrowLocked(bytes)
+	closeAll(evicted)
+	return ok, freed
+}
+
+func (h *Hold) tryGrowLocked(bytes int64) ([]*Hold, bool, <-chan struct{}) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
 	case h.removed:
-		return false, nil
+		return nil, false, nil
 	case bytes > a.Bytes:
 		a.noteLocked(MemoryRefused)
-		return false, nil
+		return nil, false, nil
 	}
-	if a.makeRoom(h, bytes) {
+	evicted, ok := a.makeRoom(h, bytes)
+	if ok {
 		h.bytes += bytes
 		a.used += bytes
-		return true, nil
+		return evicted, true, nil
 	}
 	if a.freed == nil {
 		a.freed = make(chan struct{})
 	}
-	return false, a.freed
+	return evicted, false, a.freed
 }
 
 // Shrink gives bytes back.
--- a/keel/gateway/malformed.go
+++ b/keel/gateway/malformed.go
@@ -8,12 +8,13 @@
 	"samphirekeel.example/keel/respond"
 )
 
-// RejectMalformed responds to a request that the server could not parse, and closes its connection.
+// RejectMalformed responds to a request that the server could not read, and closes its connection.
 func RejectMalformed(ctx *fasthttp.RequestCtx, err error) {
-	kind := fault.BadRequest
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		kind = fault.TooLarge
+	var failure *fault.Error
+	if !errors.As(err, &failure) {
+		failure = fault.Wrap(fault.BadRequest, err, "cannot parse request")
 	}
-	respond.Problem(ctx, fault.Wrap(kind, err, "cannot parse request"))
+	ctx.Response.Reset()
+	respond.Problem(ctx, failure)
 	ctx.SetConnectionClose()
 }
--- a/keel/operator/api.go
+++ b/keel/operator/api.go
@@ -23,8 +23,12 @@
 	"samphirekeel.example/keel/wave"
 )
 
-// callTimeout is the timeout of one call of an operator.
-const callTimeout = 10 * time.Second
+const (
+	// callTimeout is the timeout of one call of an operator.
+	callTimeout = 10 * time.Second
+	// maxConcurrentScrapes is the maximum number of requests for the metrics that are served at the same time; others get 503.
+	maxConcurrentScrapes = 4
+)
 
 // Operator is one operator's name and token, and the subtree that the operator may read and edit.
 type Operator struct {
@@ -65,7 +69,7 @@
 	for _, op := range a.Operators {
 		a.tokenDigests = append(a.tokenDigests, sha256.Sum256([]byte(op.Token)))
 	}
-	a.metricsHandler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
+	a.metricsHandler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxConcurrentScrapes}))
 	return a.handle
 }
 
--- a/keel/peer/codec.go
+++ b/keel/peer/codec.go
@@ -18,8 +18,7 @@
 const (
 	// maxMessageBytes is the maximum size of one message in bytes.
 	maxMessageBytes = 8 << 20
-	// SocketQueueBytes bounds what the kernel queues for a connection that a peer opened, in each direction. At 3 ms between the peers, a
-	// link carries 10 MB a second.
+	// SocketQueueBytes bounds what the kernel should queue of the requests on a connection that a peer opened.
 	SocketQueueBytes = 32 << 10
 )
 
--- a/keel/peer/inbound.go
+++ b/keel/peer/inbound.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// connBytes is what a connection that a peer opened holds: buffers, stacks and the kernel's queue of received bytes.
-	connBytes = 16<<10 + SocketQueueBytes
+	// connBytes is what a connection that a peer opened holds: buffers and stacks. The kernel queues requests only while one waits for
+	// memory.
+	connBytes = 24 << 10
 	// firstMessageBytes is the initial size of the buffer for a message.
 	firstMessageBytes = 4 << 10
 )
