upstream, gateway: hold memory for responses of endpoints before they are read

What callers saw: callers that ask for large responses and don't read them made an entry hold one of up to route.answer_bytes each, besides what the kernel queued; 60 of them 1.3 GB.

Cause: the size of one response was limited, and nothing limited their sum or the time in which a caller has to read one.

Change: memory is held for a body before it is read, for chunks as they arrive, until the response is written. Without room the caller gets 503 with X-Outcome: unknown, since the request may have run; the endpoint isn't blamed, and the request isn't sent to another one. A body of known length is no longer read into the library's buffers, which keep their size.

--- a/keel/gateway/gateway.go
+++ b/keel/gateway/gateway.go
@@ -38,7 +38,10 @@
 	Sequences *sequence.Service
 	// Jobs serves the requests whose path starts with /jobs/.
 	Jobs fasthttp.RequestHandler
-	Log  *event.Log
+	// HoldResponse holds memory for a number of bytes of the response to the request until it has been written, and fails with kind
+	// Overloaded if there is none; nil holds nothing.
+	HoldResponse func(ctx *fasthttp.RequestCtx, bytes int64) error
+	Log          *event.Log
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -93,6 +96,9 @@
 	}
 	request := &route.Request{ID: id, Service: parts[0] + "/" + parts[1], HTTP: &ctx.Request}
 	request.Repeatable = repeatable(string(ctx.Method()))
+	if g.HoldResponse != nil {
+		request.Hold = func(bytes int64) error { return g.HoldResponse(ctx, bytes) }
+	}
 	err := g.setDeadline(ctx, request)
 	if err != nil {
 		return nil, err
--- a/keel/route/router.go
+++ b/keel/route/router.go
@@ -34,6 +34,8 @@
 	Repeatable bool
 	Deadline   time.Time
 	HTTP       *fasthttp.Request
+	// Hold is upstream.Call's.
+	Hold func(bytes int64) error
 }
 
 // Router sends requests to endpoints; its methods are safe for concurrent use unless they say otherwise.
@@ -153,6 +155,7 @@
 		r.logChoice(request, chosen, attempt)
 		call := &upstream.Call{
 			Request: request.HTTP, Response: response, Deadline: request.Deadline, NonRepeatable: !repeatable, Limits: service.Limits,
+			Hold: request.Hold,
 		}
 		if attempt > 1 {
 			// A retry has no first-byte timeout: the first attempt may have timed out because the service is slow, not
@@ -183,6 +186,10 @@
 	if !repeatable && fault.As(lastErr).Outcome() != fault.NotRun {
 		return false
 	}
+	if fault.IsKind(lastErr, fault.Overloaded) {
+		// This entry has no memory for the response, whichever endpoint sends it.
+		return false
+	}
 	if !time.Now().Before(request.Deadline) || !service.state.retryBudget.withdraw(service.RetryBudget) {
 		return false
 	}
@@ -240,7 +247,7 @@
 		e.health.recordSuccess()
 		return
 	}
-	if call.StaleConnection() {
+	if call.StaleConnection() || fault.IsKind(err, fault.Overloaded) {
 		return
 	}
 	if fault.IsKind(err, fault.EndpointRefused) {
--- a/keel/upstream/conn.go
+++ b/keel/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -50,8 +51,13 @@
 	timedOut          bool
 	deadline          time.Time
 	progressTimeout   time.Duration
+	// hold holds memory for received bytes of a body whose length isn't known; nil holds nothing.
+	hold func(bytes int64) error
 }
 
+// chunkedCopies is how often a body of unknown length is held: its buffer may be twice as large.
+const chunkedCopies = 2
+
 // Write writes to the connection and counts the bytes written, including those of a partial write.
 func (c *countingConn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
@@ -70,6 +76,12 @@
 	n, err := c.Conn.Read(data)
 	c.received += int64(n)
 	c.timedOut = isTimeout(err)
+	if c.hold != nil && n > 0 {
+		holdErr := c.hold(chunkedCopies * int64(n))
+		if holdErr != nil {
+			return 0, holdErr
+		}
+	}
 	return n, err
 }
 
@@ -146,7 +158,7 @@
 	response := call.Response
 	response.Reset()
 	response.SkipBody = call.Request.Header.IsHead()
-	err := c.readResponse(reader, response, call.Limits.BodyBytes)
+	err := c.readResponse(reader, call)
 	if err != nil {
 		return err
 	}
@@ -158,7 +170,8 @@
 
 // readResponse reads one response; it rejects one whose body would end only when the connection is closed, since a
 // truncated body could not be told from a complete one.
-func (c *Conn) readResponse(reader *bufio.Reader, response *fasthttp.Response, maxBodyBytes int) error {
+func (c *Conn) readResponse(reader *bufio.Reader, call *Call) error {
+	response := call.Response
 	err := readHeader(reader, response)
 	if err != nil {
 		return c.exchangeError(err, "read response")
@@ -173,17 +186,43 @@
 	if response.Header.ContentLength() == lengthUntilClose {
 		return fault.New(fault.BadResponse, "response without a content length")
 	}
-	chunked := response.Header.ContentLength() == lengthChunked
-	err = response.ReadBody(reader, maxBodyBytes)
-	if err == nil && chunked {
-		err = response.Header.ReadTrailer(reader)
-	}
+	err = c.readBody(reader, call)
 	if err != nil {
 		return c.exchangeError(err, "read response")
 	}
 	return nil
 }
 
+// readBody reads the body of a response after memory has been held for it.
+func (c *Conn) readBody(reader *bufio.Reader, call *Call) error {
+	response := call.Response
+	length := response.Header.ContentLength()
+	tooLarge := call.Limits.BodyBytes > 0 && length > call.Limits.BodyBytes
+	if length == lengthChunked || tooLarge {
+		c.conn.hold = call.Hold
+		defer func() { c.conn.hold = nil }()
+		err := response.ReadBody(reader, call.Limits.BodyBytes)
+		if err != nil || length != lengthChunked {
+			return err
+		}
+		return response.Header.ReadTrailer(reader)
+	}
+	if call.Hold != nil {
+		err := call.Hold(int64(length))
+		if err != nil {
+			return err
+		}
+	}
+	// The body isn't one of the library's buffers, which keep their size for the next response.
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	if err != nil {
+		return err
+	}
+	response.SetBodyRaw(body)
+	return nil
+}
+
 // readHeader reads the header of a response and skips informational responses.
 func readHeader(reader *bufio.Reader, response *fasthttp.Response) error {
 	for range maxInformationalResponses {
@@ -211,6 +250,10 @@
 
 // exchangeError returns the error of a failed exchange, with outcome not_run if no byte was written.
 func (c *Conn) exchangeError(cause error, step string) error {
+	if fault.IsKind(cause, fault.Overloaded) {
+		// The limit is this entry's own; it tells nothing of the endpoint, and the request may have run.
+		return fault.Wrap(fault.Overloaded, cause, "%s", step).WithOutcome(fault.Unknown)
+	}
 	err := fault.Wrap(c.errorKind(cause), cause, "%s", step)
 	if c.conn.written == 0 {
 		return err.WithOutcome(fault.NotRun)
--- a/keel/upstream/pool.go
+++ b/keel/upstream/pool.go
@@ -32,6 +32,8 @@
 	// NonRepeatable is true if the request must not be sent a second time.
 	NonRepeatable bool
 	Limits        Limits
+	// Hold holds memory for a number of bytes of the response's body before they are read, and fails if there is none; nil holds nothing.
+	Hold func(bytes int64) error
 
 	stale   bool
 	leaving bool
