connection: bound the connections that wait to be accepted

Cause: the backlog is the system's, 4,096 connections, and each can hold some 40 KB that it has sent. No account knows of them.

Change: a backlog of 256. Beyond it the kernel drops the first packet of a connection, which the client sends again.

--- a/entry/connection/limit.go
+++ b/entry/connection/limit.go
@@ -66,7 +66,29 @@
 			}
 		})
 	}}
-	return config.Listen(context.Background(), "tcp", address)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if ok {
+		limitBacklog(tcp)
+	}
+	return listener, nil
+}
+
+// backlog is the maximum number of connections that wait to be accepted. Each can hold some 40 KB that it has sent, of which no account
+// knows; beyond it, the kernel drops the first packet of a connection, which the client sends again.
+const backlog = 256
+
+// limitBacklog replaces the backlog of a listener, which is that of the system.
+func limitBacklog(listener *net.TCPListener) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Where a second call isn't possible, the system's backlog applies.
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
 }
 
 // LimitQueues bounds the queues of a connection that the process opened.
