--- a/entry/connection/conn.go
+++ b/entry/connection/conn.go
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -39,7 +39,7 @@
 // Conn is a connection of a client whose memory is held in an account.
 type Conn struct {
 	net.Conn
-	hold     *budget.Hold
+	hold     *memory.Hold
 	timeouts Timeouts
 	queues   Queues
 
@@ -95,7 +95,7 @@
 	}
 	if n > 0 && c.inRequest.CompareAndSwap(false, true) {
 		c.inHeader.Store(true)
-		c.hold.SetState(budget.Arriving)
+		c.hold.SetState(memory.Arriving)
 		if !c.grow(c.requestBytes()) {
 			return 0, errNoMemory
 		}
@@ -107,7 +107,7 @@
 		return 0, errNoMemory
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.hold.Note(budget.HeaderTimeout)
+		c.hold.Note(memory.HeaderTimeout)
 	}
 	return n, err
 }
@@ -125,7 +125,7 @@
 func (c *Conn) beginHeader() {
 	c.inRequest.Store(true)
 	c.inHeader.Store(true)
-	c.hold.SetState(budget.Arriving)
+	c.hold.SetState(memory.Arriving)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.timeouts.Header()))
 }
 
@@ -142,7 +142,7 @@
 	c.unread.Store(false)
 	c.handlerHolds.Store(false)
 	c.release(c.held.Load())
-	c.hold.SetState(budget.Idle)
+	c.hold.SetState(memory.Idle)
 	c.inRequest.Store(false)
 	c.hold.Shrink(c.unsent)
 	c.unsent = min(unsent(c.Conn), int64(kernelFactor*c.queues.Sent))
@@ -177,7 +177,7 @@
 		n, err := c.Conn.Write(data[written:min(len(data), written+writeBytes)])
 		written += n
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.hold.Note(budget.WriteTimeout)
+			c.hold.Note(memory.WriteTimeout)
 			c.discardQueues()
 		}
 		if err != nil {
--- a/entry/connection/limit.go
+++ b/entry/connection/limit.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"samphirekeel.example/keel/budget"
+	"samphirekeel.example/keel/memory"
 	"samphirekeel.example/keel/peer"
 )
 
@@ -123,7 +123,7 @@
 type Limited struct {
 	net.Listener
 	// Account holds the connections; nil means that there is no limit.
-	Account *budget.Account
+	Account *memory.Account
 	// ConnBytes is what an idle connection holds, in bytes.
 	ConnBytes int64
 	Timeouts  Timeouts
--- a/entry/connection/limit_test.go
+++ b/entry/connection/limit_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
-	"samphirekeel.example/keel/budget"
+	"samphirekeel.example/keel/memory"
 )
 
 // limitedServer is a server with a limit on open connections whose requests for /wait are served until release is closed.
@@ -20,7 +20,7 @@
 	t       *testing.T
 	address string
 	set     *Set
-	account *budget.Account
+	account *memory.Account
 	release chan struct{}
 }
 
@@ -30,7 +30,7 @@
 	s := &limitedServer{t: t, address: listener.Addr().String(), release: make(chan struct{})}
 	set := &Set{}
 	s.set = set
-	s.account = &budget.Account{Listener: "callers", Bytes: math.MaxInt64, Connections: most}
+	s.account = &memory.Account{Listener: "callers", Bytes: math.MaxInt64, Connections: most}
 	timeout := func() time.Duration { return time.Minute }
 	server := &Server{
 		Set: set, Account: s.account, Timeouts: Timeouts{Idle: timeout, Header: timeout, Body: time.Minute, Write: time.Minute},
@@ -84,8 +84,8 @@
 	}
 	_, status := s.get("/")
 	assert.Equal(t, status, 200)
-	assert.Equal(t, s.account.Count(budget.ConnectionClosed), int64(1))
-	assert.Equal(t, s.account.Count(budget.ConnectionRefused), int64(0))
+	assert.Equal(t, s.account.Count(memory.ConnectionClosed), int64(1))
+	assert.Equal(t, s.account.Count(memory.ConnectionRefused), int64(0))
 	assert.Equal(t, s.read(conns[0]), 0, "the connection that was idle for longest is open")
 	for _, conn := range conns[1:] {
 		_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -107,7 +107,7 @@
 	time.Sleep(200 * time.Millisecond)
 	_, status := s.get("/")
 	assert.Equal(t, status, 503)
-	assert.Equal(t, s.account.Count(budget.ConnectionRefused), int64(1))
+	assert.Equal(t, s.account.Count(memory.ConnectionRefused), int64(1))
 	close(s.release)
 	assert.Equal(t, <-statuses, 200)
 	assert.Equal(t, <-statuses, 200)
--- a/entry/connection/server.go
+++ b/entry/connection/server.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -40,7 +40,7 @@
 	// Set tracks the connections.
 	Set *Set
 	// Account holds the connections; nil means that there is no limit.
-	Account  *budget.Account
+	Account  *memory.Account
 	Timeouts Timeouts
 	// Queues are those that the listener was opened with.
 	Queues Queues
@@ -133,11 +133,11 @@
 	case s.MaxHeader != nil && s.MaxHeader() > 0 && size > s.MaxHeader():
 		s.Reject(ctx, fault.New(fault.BadRequest, "header of %d bytes, at most %d allowed", size, s.MaxHeader()))
 	default:
-		client.hold.SetState(budget.Busy)
+		client.hold.SetState(memory.Busy)
 		s.Handler(ctx)
 	}
 	s.holdResponse(ctx, client)
-	client.hold.SetState(budget.Waiting)
+	client.hold.SetState(memory.Waiting)
 	if ctx.Request.IsBodyStream() {
 		// The server skips the rest of the body if it is short, and else closes the connection.
 		_ = client.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -186,12 +186,12 @@
 		return nil
 	}
 	client := clientOf(ctx)
-	client.hold.SetState(budget.Waiting)
+	client.hold.SetState(memory.Waiting)
 	body, err := client.readBody(stream, length, limit)
 	if err != nil {
 		return rejectBody(ctx, err)
 	}
-	client.hold.SetState(budget.Busy)
+	client.hold.SetState(memory.Busy)
 	ctx.Request.SetBodyRaw(body)
 	return nil
 }
@@ -229,7 +229,7 @@
 		case err == io.EOF:
 			return body, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.hold.Note(budget.BodyTimeout)
+			c.hold.Note(memory.BodyTimeout)
 			return nil, fault.Wrap(fault.BadRequest, err, "body not sent in time")
 		case err != nil:
 			return nil, unreadable(err)
--- a/entry/connection/server_test.go
+++ b/entry/connection/server_test.go
@@ -17,8 +17,8 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 // exchange is what a client sends on one connection and the statuses of the responses, in the order of the requests; 0 stands for a
@@ -41,8 +41,8 @@
 	Times int    `json:"times"`
 }
 
-var limitsByName = map[string]budget.Limit{
-	"memory refused": budget.MemoryRefused, "header timeout": budget.HeaderTimeout, "body timeout": budget.BodyTimeout, "write timeout": budget.WriteTimeout,
+var limitsByName = map[string]memory.Limit{
+	"memory refused": memory.MemoryRefused, "header timeout": memory.HeaderTimeout, "body timeout": memory.BodyTimeout, "write timeout": memory.WriteTimeout,
 }
 
 const (
@@ -54,17 +54,17 @@
 // bodyServer is a server whose handler reads the body of each POST, and whose response to /large has 8 MB.
 type bodyServer struct {
 	address string
-	account *budget.Account
+	account *memory.Account
 	bodies  chan int
 }
 
-func newBodyServer(t *testing.T, memory int64) *bodyServer {
+func newBodyServer(t *testing.T, limit int64) *bodyServer {
 	listener, err := Listen("127.0.0.1:0", ClientQueues)
 	assert.NilError(t, err)
-	if memory == 0 {
-		memory = math.MaxInt64
+	if limit == 0 {
+		limit = math.MaxInt64
 	}
-	s := &bodyServer{address: listener.Addr().String(), account: &budget.Account{Bytes: memory}, bodies: make(chan int, 10)}
+	s := &bodyServer{address: listener.Addr().String(), account: &memory.Account{Bytes: limit}, bodies: make(chan int, 10)}
 	timeout := func() time.Duration { return testTimeout }
 	large := strings.Repeat("x", 8<<20)
 	server := &Server{
@@ -167,7 +167,7 @@
 	defer func() { _ = conn.Close() }()
 	_, err = fmt.Fprint(conn, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
 	assert.NilError(t, err)
-	for s.account.Count(budget.WriteTimeout) == 0 || s.account.Used() > 0 {
+	for s.account.Count(memory.WriteTimeout) == 0 || s.account.Used() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/entry/daemon/clients.go
+++ b/entry/daemon/clients.go
@@ -10,9 +10,9 @@
 
 	"samphirekeel.example/entry/config"
 	"samphirekeel.example/entry/connection"
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
 	"samphirekeel.example/keel/gateway"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -37,25 +37,25 @@
 
 // clientAccounts hold the memory of the clients of each listener.
 type clientAccounts struct {
-	callers, operators, peers *budget.Account
+	callers, operators, peers *memory.Account
 }
 
 // buildAccounts divides the memory for clients among the listeners, and sets the runtime's limit.
 func (d *Daemon) buildAccounts() {
 	limits := d.Config.Limits
 	descriptors := descriptorLimit(limits)
-	memory := budget.Budget{Bytes: math.MaxInt64, Log: d.Log}
+	clients := memory.Owner{Bytes: math.MaxInt64, Log: d.Log}
 	if limits.MemoryMB > 0 {
 		total := float64(limits.MemoryMB) * (1 << 20)
-		memory.Bytes = int64(clientMemory * total)
+		clients.Bytes = int64(clientMemory * total)
 		debug.SetMemoryLimit(int64(runtimeMemory * total))
 	}
 	d.accounts = clientAccounts{
-		callers:   memory.Account("callers", callerMemory, min(limits.Connections, connection.MaxConnections(descriptors, callerDescriptors))),
-		operators: memory.Account("operators", operatorMemory, connection.MaxConnections(descriptors, operatorDescriptors)),
-		peers:     memory.Account("peers", peerMemory, connection.MaxConnections(descriptors, peerDescriptors)),
+		callers:   clients.Account("callers", callerMemory, min(limits.Connections, connection.MaxConnections(descriptors, callerDescriptors))),
+		operators: clients.Account("operators", operatorMemory, connection.MaxConnections(descriptors, operatorDescriptors)),
+		peers:     clients.Account("peers", peerMemory, connection.MaxConnections(descriptors, peerDescriptors)),
 	}
-	memory.Register(d.registry)
+	clients.Register(d.registry)
 }
 
 // descriptorLimit returns the maximum number of descriptors of the process.
@@ -107,7 +107,7 @@
 // holdDecoded returns a handler that holds memory for what the body becomes once decoded.
 func holdDecoded(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		err := connection.Hold(ctx, budget.JSONBytes(ctx.PostBody()))
+		err := connection.Hold(ctx, memory.JSONBytes(ctx.PostBody()))
 		if err != nil {
 			gateway.RejectMalformed(ctx, fault.As(err))
 			return
--- a/entry/site/clients.go
+++ b/entry/site/clients.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"samphirekeel.example/entry/connection"
-	"samphirekeel.example/keel/budget"
+	"samphirekeel.example/keel/memory"
 	"samphirekeel.example/keel/queue"
 )
 
@@ -40,23 +40,23 @@
 
 // clientAccounts hold the memory of the clients of each listener.
 type clientAccounts struct {
-	callers, peers, readiness, metrics *budget.Account
+	callers, peers, readiness, metrics *memory.Account
 }
 
 // buildAccounts divides the memory for clients among the listeners.
 func (s *Entry) buildAccounts() {
-	memory := budget.Budget{Bytes: math.MaxInt64, Log: s.Log}
+	clients := memory.Owner{Bytes: math.MaxInt64, Log: s.Log}
 	if s.Settings.Limits.MemoryMB > 0 {
-		memory.Bytes = int64(s.ClientMemoryShare * float64(s.Settings.Limits.MemoryMB) * (1 << 20))
+		clients.Bytes = int64(s.ClientMemoryShare * float64(s.Settings.Limits.MemoryMB) * (1 << 20))
 	}
 	connections := func(part float64) int { return connection.MaxConnections(s.Settings.Limits.Descriptors, part) }
 	s.accounts = clientAccounts{
-		callers:   memory.Account("callers", callerMemory, connections(callerDescriptors)),
-		peers:     memory.Account("peers", peerMemory, connections(peerDescriptors)),
-		readiness: memory.Account("readiness", readinessMemory, connections(probeDescriptors)),
-		metrics:   memory.Account("metrics", metricsMemory, connections(probeDescriptors)),
+		callers:   clients.Account("callers", callerMemory, connections(callerDescriptors)),
+		peers:     clients.Account("peers", peerMemory, connections(peerDescriptors)),
+		readiness: clients.Account("readiness", readinessMemory, connections(probeDescriptors)),
+		metrics:   clients.Account("metrics", metricsMemory, connections(probeDescriptors)),
 	}
-	memory.Register(s.registry)
+	clients.Register(s.registry)
 }
 
 // timeouts returns the timeouts of clients' connections.
@@ -107,7 +107,7 @@
 }
 
 // probeServer returns a server for requests without a body.
-func (s *Entry) probeServer(account *budget.Account, handler fasthttp.RequestHandler) *connection.Server {
+func (s *Entry) probeServer(account *memory.Account, handler fasthttp.RequestHandler) *connection.Server {
 	idle := func() time.Duration { return defaultIdleTimeout }
 	header := func() time.Duration { return defaultHeaderTimeout }
 	return &connection.Server{
--- a/keel/budget/account.go
+++ b/keel/memory/account.go
@@ -1,4 +1,4 @@
-package budget
+package memory
 
 import (
 	"container/list"
--- a/keel/budget/budget.go
+++ b/keel/memory/owner.go
@@ -1,4 +1,4 @@
-package budget
+package memory
 
 import (
 	"time"
@@ -11,8 +11,8 @@
 // reportInterval is the minimum time between two log lines about one listener and reason.
 const reportInterval = time.Second
 
-// Budget divides Bytes among accounts; its exported fields are set before the first account is opened.
-type Budget struct {
+// Owner divides Bytes among accounts; its exported fields are set before the first account is opened.
+type Owner struct {
 	// Bytes is the memory that all accounts together may hold.
 	Bytes int64
 	Log   *event.Log
@@ -20,17 +20,17 @@
 	accounts []*Account
 }
 
-// Account returns a new account for the clients of one listener: it may hold the share, a fraction, of the budget's bytes and the number
+// Account returns a new account for the clients of one listener: it may hold the share, a fraction, of the bytes and the number
 // of connections, 0 for no limit.
-func (b *Budget) Account(listener string, share float64, connections int) *Account {
-	a := &Account{Listener: listener, Bytes: int64(share * float64(b.Bytes)), Connections: connections, Log: b.Log}
-	b.accounts = append(b.accounts, a)
+func (o *Owner) Account(listener string, share float64, connections int) *Account {
+	a := &Account{Listener: listener, Bytes: int64(share * float64(o.Bytes)), Connections: connections, Log: o.Log}
+	o.accounts = append(o.accounts, a)
 	return a
 }
 
 // Register adds the metrics of the accounts to the registry.
-func (b *Budget) Register(registry prometheus.Registerer) {
-	for _, a := range b.accounts {
+func (o *Owner) Register(registry prometheus.Registerer) {
+	for _, a := range o.accounts {
 		labels := prometheus.Labels{"listener": a.Listener}
 		for _, gauge := range []struct {
 			name, help string
--- a/keel/peer/codec.go
+++ b/keel/peer/codec.go
@@ -11,8 +11,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	err = c.inbound.grow(budget.JSONBytes(body))
+	err = c.inbound.grow(memory.JSONBytes(body))
 	if err != nil {
 		return err
 	}
--- a/keel/peer/inbound.go
+++ b/keel/peer/inbound.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -19,7 +19,7 @@
 // inbound holds the memory of the requests that arrive on one connection, from their first byte to the response. A nil inbound, that of a
 // connection that this entry opened, has no limit.
 type inbound struct {
-	hold *budget.Hold
+	hold *memory.Hold
 	// timeout is how long a message waits for memory.
 	timeout time.Duration
 
@@ -91,10 +91,10 @@
 func (i *inbound) setState() {
 	switch {
 	case i.reading:
-		i.hold.SetState(budget.Waiting)
+		i.hold.SetState(memory.Waiting)
 	case i.inFlight > 0:
-		i.hold.SetState(budget.Busy)
+		i.hold.SetState(memory.Busy)
 	default:
-		i.hold.SetState(budget.Idle)
+		i.hold.SetState(memory.Idle)
 	}
 }
--- a/keel/peer/inbound_test.go
+++ b/keel/peer/inbound_test.go
@@ -13,16 +13,16 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 	"gotest.tools/v3/assert"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/claim"
+	"samphirekeel.example/keel/memory"
 	"samphirekeel.example/keel/peer"
 )
 
 // limitedNode starts a node whose connections may hold the bytes, and returns its account and listener.
-func limitedNode(t *testing.T, bytes int64, serve func(context.Context, claim.HolderQuery) claim.HolderResponse) (*budget.Account, *fasthttputil.InmemoryListener) {
+func limitedNode(t *testing.T, bytes int64, serve func(context.Context, claim.HolderQuery) claim.HolderResponse) (*memory.Account, *fasthttputil.InmemoryListener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	account := &budget.Account{Bytes: bytes}
+	account := &memory.Account{Bytes: bytes}
 	node := &peer.Node{Timeout: time.Second, OnHeartbeat: func(peer.Heartbeat) {}, ServeClaimQuery: serve, Account: account}
 	listener := fasthttputil.NewInmemoryListener()
 	go func() { _ = node.Serve(ctx, listener) }()
@@ -56,7 +56,7 @@
 		}
 		_, err := client.QueryClaim(t.Context(), "a", claim.HolderQuery{})
 		assert.NilError(t, err)
-		assert.Assert(t, account.Count(budget.MemoryClosed) > 0)
+		assert.Assert(t, account.Count(memory.MemoryClosed) > 0)
 		assert.Assert(t, account.Used() <= account.Bytes)
 	})
 }
@@ -85,7 +85,7 @@
 		assert.Check(t, <-done)
 	}
 	assert.Assert(t, most.Load() > 1 && most.Load() < calls, most.Load())
-	assert.Equal(t, account.Count(budget.MemoryRefused), int64(0))
+	assert.Equal(t, account.Count(memory.MemoryRefused), int64(0))
 	client.Close()
 	for account.Used() > 0 {
 		time.Sleep(time.Millisecond)
@@ -100,7 +100,7 @@
 		_, err := conn.Read(make([]byte, 1))
 		assert.ErrorContains(t, err, "EOF")
 		synctest.Wait()
-		assert.Equal(t, account.Count(budget.MemoryRefused), int64(1))
+		assert.Equal(t, account.Count(memory.MemoryRefused), int64(1))
 		assert.Equal(t, account.Used(), int64(0))
 	})
 }
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -12,10 +12,10 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"samphirekeel.example/keel/budget"
 	"samphirekeel.example/keel/claim"
 	"samphirekeel.example/keel/event"
 	"samphirekeel.example/keel/fault"
+	"samphirekeel.example/keel/memory"
 )
 
 const (
@@ -50,7 +50,7 @@
 	// Methods holds further methods by name.
 	Methods map[string]Method
 	// Account holds the memory of the connections that peers open; nil means that there is no limit.
-	Account *budget.Account
+	Account *memory.Account
 
 	rowResponses atomic.Int64
 
@@ -119,7 +119,7 @@
 }
 
 // trackAccepted records an accepted connection until it is closed, so that Close closes it.
-func (n *Node) trackAccepted(conn *jsonrpc2.Conn, hold *budget.Hold) {
+func (n *Node) trackAccepted(conn *jsonrpc2.Conn, hold *memory.Hold) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.accepted == nil {
