ledger: drop the body of a submission whose caller no longer waits

The entry of a withdrawn submission stays in its partition's queue until the next transaction, 2 s at most, while the memory of its request has been given back. By reading; no run showed it.

--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -94,8 +94,10 @@
 	defer q.mu.Unlock()
 	for _, pending := range q.pending {
 		if pending == s {
-			s.abandoned = true
-			return Submission{}, fault.New(fault.PlatformUnavailable, "job %s was not sent to the store before the deadline", s.job.ID).WithOutcome(fault.NotRun)
+			failure := fault.New(fault.PlatformUnavailable, "job %s was not sent to the store before the deadline", s.job.ID).WithOutcome(fault.NotRun)
+			// The entry of the queue stays until the next transaction; the memory of the request is given back now.
+			s.abandoned, s.job, s.body = true, nil, nil
+			return Submission{}, failure
 		}
 	}
 	return Submission{}, fault.New(fault.PlatformUnavailable, "job %s: the store did not respond before the deadline", s.job.ID).WithOutcome(fault.Unknown)
