--- a/entry/crowd_test.go
+++ b/entry/crowd_test.go
@@ -264,6 +264,12 @@
 		c.mu.Unlock()
 		_ = conn.Close()
 	}()
+	select {
+	case <-c.ended:
+		// The crowd has left while the connection was being opened.
+		return
+	default:
+	}
 	c.send(notingWriter{conn, c})
 	if c.Reopen {
 		_, _ = io.Copy(io.Discard, conn)
