gateway: hold memory for the copies of a job's submission

What callers saw: nothing yet; callers that submit jobs with large task specifications made an entry use up to 643 MB of 512.

Cause: the body was held once, and it is held some six times more while it is decoded, written to a row and sent to the platform.

Change: these copies are held before the body is decoded.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -197,7 +197,7 @@
 		Router: d.router, Log: d.Log,
 		Claims: d.claims, Sequences: &sequence.Service{Client: d.Client, Claims: d.claims},
 		HoldResponse: connection.HoldResponse,
-		Jobs:         (&gateway.Jobs{Service: d.jobService, Router: d.router, Log: d.Log}).Handle,
+		Jobs:         (&gateway.Jobs{Service: d.jobService, Router: d.router, Log: d.Log, Hold: connection.Hold}).Handle,
 	}
 }
 
--- a/keel/gateway/jobs.go
+++ b/keel/gateway/jobs.go
@@ -28,8 +28,14 @@
 	Service *job.Service
 	Router  *route.Router
 	Log     *event.Log
+	// Hold holds memory for a number of bytes until the response to the request has been written, and fails with kind Overloaded if
+	// there is none; nil holds nothing.
+	Hold func(ctx *fasthttp.RequestCtx, bytes int64) error
 }
 
+// jobCopies is how often the body of a submission is held besides itself: decoded, as a row, and in the transaction with that.
+const jobCopies = 6
+
 // Submission is the body of a request that submits a job.
 type Submission struct {
 	Size           platform.Size   `json:"size"`
@@ -83,6 +89,12 @@
 }
 
 func (j *Jobs) submit(callCtx context.Context, ctx *fasthttp.RequestCtx, service *route.Service, name string) (any, error) {
+	if j.Hold != nil {
+		err := j.Hold(ctx, jobCopies*int64(len(ctx.Request.Body())))
+		if err != nil {
+			return nil, err
+		}
+	}
 	var submission Submission
 	err := json.Unmarshal(ctx.Request.Body(), &submission)
 	if err != nil {
