connection, site, main: close idle connections gracefully, and check the new options

Read again after the crowds: an idle connection that is closed for another one is reset only if it has been idle for a second, since the client may not have received all of the last response; connections to entries with settings of their own are closed after 60 s without a request, as before, and not after 10 min; the summary of the configuration counts among the four requests of operators at a time; options out of range are refused.

--- a/entry/connection/conn.go
+++ b/entry/connection/conn.go
@@ -147,7 +147,7 @@
 	c.hold.Shrink(c.unsent)
 	c.unsent = min(unsent(c.Conn), int64(kernelFactor*c.queues.Sent))
 	if !c.hold.Grow(c.unsent) {
-		c.evict()
+		c.evict(false)
 	}
 }
 
@@ -187,10 +187,12 @@
 	return written, nil
 }
 
-// evict closes the connection for another one.
-func (c *Conn) evict() {
+// evict closes the connection for another one. Responses of which a client that isn't slow hasn't received the end are still sent.
+func (c *Conn) evict(slow bool) {
 	c.evicted.Store(true)
-	c.discardQueues()
+	if slow {
+		c.discardQueues()
+	}
 	_ = c.Conn.Close()
 }
 
--- a/entry/connection/limit_test.go
+++ b/entry/connection/limit_test.go
@@ -34,7 +34,7 @@
 	timeout := func() time.Duration { return time.Minute }
 	server := &Server{
 		Set: set, Account: s.account, Timeouts: Timeouts{Idle: timeout, Header: timeout, Body: time.Minute, Write: time.Minute},
-		MaxBody: func() int { return 0 },
+		KeepAlive: time.Minute, MaxBody: func() int { return 0 },
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) == "/wait" {
 				<-s.release
--- a/entry/connection/server.go
+++ b/entry/connection/server.go
@@ -42,6 +42,8 @@
 	// Account holds the connections; nil means that there is no limit.
 	Account  *memory.Account
 	Timeouts Timeouts
+	// KeepAlive is the longest time that a connection may be idle between two requests; Set.CloseIdle may close it sooner.
+	KeepAlive time.Duration
 	// Queues are those that the listener was opened with.
 	Queues Queues
 	// HeaderBytes is the size of the buffer for a header, 0 for a small one.
@@ -63,7 +65,7 @@
 	server := &fasthttp.Server{
 		Handler: s.serve, ErrorHandler: s.rejectUnreadable, ConnState: s.Set.Track, HeaderReceived: s.bodyConfig, Name: "samphirekeel",
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
-		ReadBufferSize: buffer, IdleTimeout: maxIdleTimeout, Concurrency: maxConcurrency, Logger: noLogger{},
+		ReadBufferSize: buffer, IdleTimeout: s.KeepAlive, Concurrency: maxConcurrency, Logger: noLogger{},
 		// The body is read by ReadBody; the server itself reads one byte of it.
 		StreamRequestBody: true, MaxRequestBodySize: 1, DisablePreParseMultipartForm: true,
 	}
@@ -99,12 +101,8 @@
 	return ctx.Request.Header.ContentLength()
 }
 
-const (
-	// maxIdleTimeout is the longest time that a connection may be idle between two requests; Set.CloseIdle closes idle connections sooner.
-	maxIdleTimeout = 10 * time.Minute
-	// maxConcurrency is above all limits of accounts.
-	maxConcurrency = 1 << 20
-)
+// maxConcurrency is above all limits of accounts.
+const maxConcurrency = 1 << 20
 
 // noLogger discards the server's messages about connections of clients that fail, one line for each.
 type noLogger struct{}
--- a/entry/connection/server_test.go
+++ b/entry/connection/server_test.go
@@ -69,7 +69,7 @@
 	large := strings.Repeat("x", 8<<20)
 	server := &Server{
 		Set: &Set{}, Account: s.account, Queues: ClientQueues, Timeouts: Timeouts{Idle: timeout, Header: timeout, Body: testTimeout, Write: testTimeout},
-		HeaderBytes: HeaderBufferBytes, MaxHeader: func() int { return testHeaderLimit }, MaxBody: func() int { return testBodyLimit },
+		KeepAlive: time.Minute, HeaderBytes: HeaderBufferBytes, MaxHeader: func() int { return testHeaderLimit }, MaxBody: func() int { return testBodyLimit },
 		Reject: func(ctx *fasthttp.RequestCtx, err error) {
 			kind := fault.BadRequest
 			var known *fault.Error
--- a/entry/daemon/clients.go
+++ b/entry/daemon/clients.go
@@ -85,7 +85,7 @@
 func (d *Daemon) callerServer() *connection.Server {
 	return &connection.Server{
 		Handler: d.withBody(d.serveCaller), Reject: gateway.RejectMalformed, Set: &d.callerConns, Account: d.accounts.callers,
-		Timeouts: d.timeouts(), Queues: connection.ClientQueues, RequestBytes: upstreamBytes, MaxBody: d.maxBody,
+		Timeouts: d.timeouts(), KeepAlive: idleTimeout, Queues: connection.ClientQueues, RequestBytes: upstreamBytes, MaxBody: d.maxBody,
 	}
 }
 
--- a/entry/daemon/operators.go
+++ b/entry/daemon/operators.go
@@ -43,7 +43,7 @@
 	}
 	return &connection.Server{
 		Handler: d.withBody(holdDecoded(api.Handler())), Reject: gateway.RejectMalformed, Set: &d.operatorConns, Account: d.accounts.operators,
-		Timeouts: d.timeouts(), Queues: connection.ClientQueues, MaxBody: d.maxBody,
+		Timeouts: d.timeouts(), KeepAlive: idleTimeout, Queues: connection.ClientQueues, MaxBody: d.maxBody,
 	}
 }
 
--- a/entry/main.go
+++ b/entry/main.go
@@ -94,6 +94,10 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	err := opts.checkClients()
+	if err != nil {
+		return err
+	}
 	load := func() (deployment.Settings, error) { return platform.LoadSettings(opts.Platform) }
 	settings, err := load()
 	if err != nil || opts.Check {
@@ -121,6 +125,17 @@
 	return process.Run(ctx, reloads(ctx, hangups))
 }
 
+// checkClients fails with kind Usage if a limit on clients is out of range.
+func (o options) checkClients() error {
+	if !(o.ClientMemory > 0 && o.ClientMemory <= 1) {
+		return fault.New(fault.Usage, "--client-memory-share: %v, must be above 0 and at most 1", o.ClientMemory)
+	}
+	if o.WriteTimeout <= 0 {
+		return fault.New(fault.Usage, "--write-timeout: %v, must be above zero", o.WriteTimeout)
+	}
+	return nil
+}
+
 // reloads returns a channel that receives a value for each hangup until ctx ends.
 func reloads(ctx context.Context, hangups <-chan os.Signal) <-chan struct{} {
 	reload := make(chan struct{})
--- a/entry/site/clients.go
+++ b/entry/site/clients.go
@@ -101,7 +101,7 @@
 
 func (s *Entry) callerServer() *connection.Server {
 	return &connection.Server{
-		Handler: s.serveCaller, Reject: rejectUnreadable, Set: &s.conns, Account: s.accounts.callers, Timeouts: s.timeouts(),
+		Handler: s.serveCaller, Reject: rejectUnreadable, Set: &s.conns, Account: s.accounts.callers, Timeouts: s.timeouts(), KeepAlive: 2 * maxIdleTimeout,
 		Queues: connection.CallerQueues, HeaderBytes: connection.HeaderBufferBytes, MaxHeader: s.maxHeader, MaxBody: s.maxBody,
 	}
 }
@@ -112,7 +112,7 @@
 	header := func() time.Duration { return defaultHeaderTimeout }
 	return &connection.Server{
 		Handler: handler, Reject: rejectUnreadable, Set: &connection.Set{}, Account: account, Queues: connection.ClientQueues,
-		Timeouts: connection.Timeouts{Idle: idle, Header: header, Body: bodyTimeout, Write: s.WriteTimeout},
-		MaxBody:  func() int { return 0 },
+		Timeouts:  connection.Timeouts{Idle: idle, Header: header, Body: bodyTimeout, Write: s.WriteTimeout},
+		KeepAlive: 2 * maxIdleTimeout, MaxBody: func() int { return 0 },
 	}
 }
--- a/entry/site/metrics.go
+++ b/entry/site/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -72,16 +73,22 @@
 	m.seconds.WithLabelValues(call, strconv.Itoa(status)).Observe(duration.Seconds())
 }
 
-// maxConcurrentScrapes is the maximum number of requests for the metrics that are served at the same time; others get 503.
+// maxConcurrentScrapes is the maximum number of requests of operators that are served at the same time; others get 503.
 const maxConcurrentScrapes = 4
 
 // metricsServer returns a server for the metrics of the registry.
 func (s *Entry) metricsServer() *connection.Server {
-	handler := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxConcurrentScrapes}))
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	var serving atomic.Int64
 	return s.probeServer(s.accounts.metrics, func(ctx *fasthttp.RequestCtx) {
+		defer serving.Add(-1)
+		if serving.Add(1) > maxConcurrentScrapes {
+			writeError(ctx, fault.New(fault.Overloaded, "more than %d requests at the same time", maxConcurrentScrapes).WithRetryAfter(retryAfter))
+			return
+		}
 		switch string(ctx.Path()) {
 		case metricsPath:
-			handler(ctx)
+			metrics(ctx)
 		case configPath:
 			s.serveConfig(ctx)
 		default:
--- a/keel/memory/account.go
+++ b/keel/memory/account.go
@@ -80,8 +80,8 @@
 }
 
 // Add adds a connection that holds the bytes, in state Arriving, and returns false if there is no room for it. The connection must be
-// closed when evict is called, from any goroutine. A nil account has no limits.
-func (a *Account) Add(bytes int64, evict func()) (*Hold, bool) {
+// closed when evict is called, from any goroutine, with whether it has been in its state for long. A nil account has no limits.
+func (a *Account) Add(bytes int64, evict func(slow bool)) (*Hold, bool) {
 	if a == nil {
 		return nil, true
 	}
@@ -118,7 +118,7 @@
 // closeAll closes connections that were removed; mu must not be held.
 func closeAll(evicted []*Hold) {
 	for _, h := range evicted {
-		h.evict()
+		h.evict(time.Since(h.since) >= slowAfter)
 	}
 }
 
--- a/keel/memory/account_test.go
+++ b/keel/memory/account_test.go
@@ -50,7 +50,7 @@
 	t.Helper()
 	switch {
 	case s.Add != "":
-		hold, ok := p.account.Add(s.Bytes, func() { p.evicted = append(p.evicted, s.Add) })
+		hold, ok := p.account.Add(s.Bytes, func(bool) { p.evicted = append(p.evicted, s.Add) })
 		assert.Equal(t, ok, !s.Refused, "add %s", s.Add)
 		p.holds[s.Add] = hold
 	case s.Grow != "":
--- a/keel/memory/hold.go
+++ b/keel/memory/hold.go
@@ -24,7 +24,7 @@
 // Hold is what one connection holds; its methods are safe for concurrent use. A nil Hold has no limit.
 type Hold struct {
 	account *Account
-	evict   func()
+	evict   func(slow bool)
 
 	bytes int64
 	state State
--- a/keel/peer/node.go
+++ b/keel/peer/node.go
@@ -109,7 +109,7 @@
 			}
 			return fault.Wrap(fault.Internal, err, "accept peer")
 		}
-		hold, ok := n.Account.Add(connBytes, func() { _ = conn.Close() })
+		hold, ok := n.Account.Add(connBytes, func(bool) { _ = conn.Close() })
 		if !ok {
 			_ = conn.Close()
 			continue
