connection: close connections whose oversized body nobody has read

A body that is announced too large is marked as one of unknown length, so that the server doesn't wait for it. If nobody reads it, as of a GET, the server took it for chunks, and what follows a last chunk in it for the next request of the connection.

Change: such a connection is closed after the response, and ReadBody refuses a marked body whatever its limit.

Evidence: the exchange a_large_body_that_nobody_reads_isn't_taken_for_chunks failed before and passes here.

--- a/entry/connection/limit.go
+++ b/entry/connection/limit.go
@@ -58,12 +58,8 @@
 func Listen(address string, queues Queues) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
-			for option, size := range map[int]int{unix.SO_RCVBUF: queues.Received, unix.SO_SNDBUF: queues.Sent} {
-				if size > 0 {
-					// Connections inherit the size. Where the kernel lacks the option, its own limit applies.
-					_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size)
-				}
-			}
+			limitQueue(int(fd), unix.SO_RCVBUF, queues.Received)
+			limitQueue(int(fd), unix.SO_SNDBUF, queues.Sent)
 		})
 	}}
 	listener, err := config.Listen(context.Background(), "tcp", address)
@@ -77,6 +73,14 @@
 	return listener, nil
 }
 
+// limitQueue sets the size of a queue, which connections inherit from their listener. Where the kernel lacks the option, its own limit
+// applies.
+func limitQueue(fd, option, size int) {
+	if size > 0 {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, size)
+	}
+}
+
 // backlog is the maximum number of connections that wait to be accepted. Each can hold some 40 KB that it has sent, of which no account
 // knows; beyond it, the kernel drops the first packet of a connection, which the client sends again.
 const backlog = 256
--- a/entry/connection/server.go
+++ b/entry/connection/server.go
@@ -89,16 +89,9 @@
 	return fasthttp.RequestConfig{ReadTimeout: s.Timeouts.Body}
 }
 
-// announcedLength returns the length of the request's body, -1 if it isn't known.
-func announcedLength(ctx *fasthttp.RequestCtx) int {
-	length, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerOversized)))
-	switch {
-	case err == nil:
-		return length
-	case ctx.RequestBodyStream() == nil:
-		return len(ctx.Request.Body())
-	}
-	return ctx.Request.Header.ContentLength()
+// oversized reports whether the body of the request is announced to be too large.
+func oversized(ctx *fasthttp.RequestCtx) bool {
+	return len(ctx.Request.Header.Peek(headerOversized)) > 0
 }
 
 // maxConcurrency is above all limits of accounts.
@@ -141,6 +134,10 @@
 		_ = client.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		client.unread.Store(true)
 	}
+	if oversized(ctx) {
+		// The server would take the body for chunks, and what follows a last chunk in it for the next request.
+		ctx.SetConnectionClose()
+	}
 	if large {
 		ctx.SetConnectionClose()
 		forgetRequest(ctx)
@@ -175,11 +172,18 @@
 // Overloaded if there is no memory for it, and with BadRequest if the client doesn't send it in time or in a valid form. The connection is
 // then closed after the response.
 func ReadBody(ctx *fasthttp.RequestCtx, limit int) error {
-	length := announcedLength(ctx)
+	if oversized(ctx) {
+		return rejectBody(ctx, fault.New(fault.TooLarge, "body of %s bytes, at most %d allowed", ctx.Request.Header.Peek(headerOversized), limit))
+	}
+	stream := ctx.RequestBodyStream()
+	length := ctx.Request.Header.ContentLength()
+	if stream == nil {
+		// The body has been read already.
+		length = len(ctx.Request.Body())
+	}
 	if length > limit {
 		return rejectBody(ctx, fault.New(fault.TooLarge, "body of %d bytes, at most %d allowed", length, limit))
 	}
-	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil
 	}
