--- /dev/null
+++ b/review/stage/scripts.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// scripts holds the scripts by name.
+var scripts = map[string]func(*stage, string) int{
+	"gang": playGang,
+	"late": playLateCrash,
+}
+
+// playGang runs gangs that save checkpoints. With trouble one worker crashes.
+func playGang(s *stage, program string) int {
+	const members, gangs, instances = 6, 4, 7
+	s.configure(1, 3, "pool")
+	for i := range instances {
+		s.fleet.add(fmt.Sprintf("m-%d", i+1), "pool", []string{"zone-a", "zone-b", "zone-c"}[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
+	}
+	s.start(program, 3)
+	time.Sleep(4 * time.Second)
+	var ids []string
+	for g := range gangs {
+		id := fmt.Sprintf("5c0e7a21d94b36f%x", g)
+		ids = append(ids, id)
+		step := object{"count": members, "cpu": 2000, "memMb": 256, "estimatedMs": 12000, "gang": true, "checkpointing": true, names["perWorker"]: 1}
+		s.submit(s.entries[g%len(s.entries)], "pool", id, []object{step}, []stepInfo{{count: members, gang: true, saves: true, duration: 12 * time.Second}})
+		time.Sleep(250 * time.Millisecond)
+	}
+	if s.trouble {
+		time.Sleep(5 * time.Second)
+		s.fleet.mu.Lock()
+		var most *instance
+		for _, i := range s.fleet.all {
+			if most == nil || len(i.worker.runs) > len(most.worker.runs) {
+				most = i
+			}
+		}
+		s.fleet.crash(most, 4*time.Second)
+		s.fleet.mu.Unlock()
+	}
+	s.waitFor(ids, 40*time.Second)
+	return s.checkGangs(ids)
+}
+
+// waitFor waits until all jobs have ended, for the time at most.
+func (s *stage) waitFor(ids []string, limit time.Duration) {
+	until := time.Now().Add(limit)
+	for n := 0; time.Now().Before(until); n++ {
+		open := 0
+		for _, id := range ids {
+			state := s.state(s.entries[n%len(s.entries)], "pool", id)
+			if state != "completed" && state != "failed" && state != "cancelled" {
+				open++
+			}
+		}
+		if open == 0 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// checkGangs checks that the members of each run of a gang were started with one checkpoint.
+func (s *stage) checkGangs(ids []string) int {
+	open := 0
+	for _, id := range ids {
+		state := s.state(s.entries[0], "pool", id)
+		if state != "completed" {
+			open++
+		}
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	given := make(map[string]map[string][]string)
+	for task, starts := range s.fleet.starts {
+		parts := strings.Split(task, ".")
+		for _, start := range starts {
+			gang := fmt.Sprintf("%s.%s.%s run %d", parts[0], parts[1], parts[2], start.run)
+			if given[gang] == nil {
+				given[gang] = make(map[string][]string)
+			}
+			given[gang][start.checkpoint] = append(given[gang][start.checkpoint], parts[3])
+		}
+	}
+	var gangs []string
+	for gang := range given {
+		gangs = append(gangs, gang)
+	}
+	sort.Strings(gangs)
+	mixed := 0
+	for _, gang := range gangs {
+		if len(given[gang]) > 1 {
+			mixed++
+			s.record.write("the members of %s were started with different checkpoints: %v", gang, given[gang])
+		}
+	}
+	s.record.write("of %d runs of gangs %d were started with different checkpoints; %d of %d jobs aren't completed", len(gangs), mixed, open, len(ids))
+	if mixed > 0 {
+		s.record.write("BROKEN: UNASKED")
+		return broken
+	}
+	return held
+}
+
+// playLateCrash runs a task that crashes each worker that starts it, some seconds after the start.
+func playLateCrash(s *stage, program string) int {
+	s.configure(1, 3, "pool")
+	for i := range 8 {
+		s.fleet.add(fmt.Sprintf("m-%d", i+1), "pool", []string{"zone-a", "zone-b", "zone-c"}[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
+	}
+	s.start(program, 3)
+	time.Sleep(4 * time.Second)
+	const id, other = "5c0e7a21d94b36f8", "77aa7a21d94b36f8"
+	info := stepInfo{count: 1, duration: 8 * time.Second}
+	if s.trouble {
+		info.crashAfter = *crashAfter
+	}
+	s.submit(s.entries[0], "pool", id, []object{{"count": 1, "cpu": 2000, "memMb": 256, "estimatedMs": 8000}}, []stepInfo{info})
+	s.submit(s.entries[1], "pool", other, []object{{"count": 16, "cpu": 4000, "memMb": 256, "estimatedMs": 20000}}, []stepInfo{{count: 16, duration: 20 * time.Second}})
+	s.waitFor([]string{id}, 75*time.Second)
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	later := 0
+	for _, start := range s.fleet.starts[id+".0.0.0"] {
+		if start.crashes >= 3 {
+			later++
+		}
+	}
+	s.record.write("the task was started %d times, %d workers crashed under it, %d starts came after three crashes", len(s.fleet.starts[id+".0.0.0"]), s.fleet.crashes[id+".0.0.0"], later)
+	if later >= 3 {
+		s.record.write("BROKEN: BUDGET")
+		return broken
+	}
+	return held
+}
