--- a/review/stage/cloud.go
+++ b/review/stage/cloud.go
@@ -29,7 +29,7 @@
 		all := []object{}
 		for _, i := range f.all {
 			o := object{"machine": i.name, "pool": i.pool, "state": i.state, "zone": i.zone, "labels": i.labels, "capacity": object{"cpu": i.cpu, "memMb": i.memory, "gpu": 0}, "id": ""}
-			if i.worker != nil && i.worker.alive {
+			if i.worker != nil && (i.worker.alive || i.worker.dark) {
 				o["id"] = i.worker.id
 			}
 			all = append(all, o)
--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -83,6 +83,8 @@
 	listener net.Listener
 	server   *http.Server
 	alive    bool
+	// dark is set while the platform hasn't noticed that the worker is silent.
+	dark     bool
 	booted   time.Time
 	sequence int64
 	fence    int64
@@ -132,10 +134,12 @@
 	f.boot(i)
 }
 
-// boot starts a worker on the instance, under a new ID.
-func (f *fleet) boot(i *instance) {
+// boot starts a worker on the instance, under a new ID and at a new address.
+func (f *fleet) boot(i *instance) { f.bootAt(i, "127.0.0.1:0") }
+
+func (f *fleet) bootAt(i *instance, address string) {
 	f.workers++
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		panic(err)
 	}
@@ -184,6 +188,41 @@
 	f.wake.Broadcast()
 }
 
+const (
+	// reuseTime is the time after which the address of a worker that is gone may be another one's.
+	reuseTime = 2100 * time.Millisecond
+	// silentTime is the time from the last heartbeat of a worker until its row is removed.
+	silentTime = 3 * heartbeat
+)
+
+// darken lets the worker of an instance fall silent for good. The platform notices it when its heartbeats stay away. Its address
+// goes to a worker of another pool.
+func (f *fleet) darken(i *instance, pool string) {
+	w := i.worker
+	names := []string{}
+	for _, r := range w.sorted() {
+		f.crashes[r.task]++
+		names = append(names, fmt.Sprintf("%s/%d", r.task, r.number))
+	}
+	f.record.write("worker %s on %s falls silent for good, under %s", w.id, i.name, strings.Join(names, " "))
+	w.dark, w.alive = true, false
+	w.runs = make(map[string]*run)
+	f.wake.Broadcast()
+	time.AfterFunc(reuseTime, func() {
+		_ = w.server.Close()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		other := &instance{name: i.name + "-other", pool: pool, zone: i.zone, state: "up", labels: i.labels, cpu: i.cpu, memory: i.memory, waves: make(map[int64]bool)}
+		f.all = append(f.all, other)
+		f.bootAt(other, w.address)
+	})
+	time.AfterFunc(silentTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		i.state, w.dark = "down", false
+	})
+}
+
 // crash ends the worker of an instance, and starts another one after the time.
 func (f *fleet) crash(i *instance, down time.Duration) {
 	w := i.worker
@@ -339,6 +378,13 @@
 }
 
 func (f *fleet) serve(w *workerState, rw http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	dark := w.dark
+	f.mu.Unlock()
+	if dark {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	rw.Header().Set("Instance-Id", w.id)
 	if r.Method == http.MethodGet {
 		respond(rw, http.StatusOK, object{})
--- a/review/stage/scripts.go
+++ b/review/stage/scripts.go
@@ -11,6 +11,7 @@
 var scripts = map[string]func(*stage, string) int{
 	"gang": playGang,
 	"late": playLateCrash,
+	"dark": playDark,
 }
 
 // playGang runs gangs that save checkpoints. With trouble one worker crashes.
@@ -137,3 +138,49 @@
 	}
 	return held
 }
+
+// playDark submits jobs while some workers have fallen silent and their addresses are those of others.
+func playDark(s *stage, program string) int {
+	const instances, lost = 30, 4
+	s.configure(1, 3, "pool", "other")
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	for i := range instances {
+		s.fleet.add(fmt.Sprintf("m-%02d", i+1), "pool", zones[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
+	}
+	s.start(program, 3)
+	time.Sleep(5 * time.Second)
+	if s.trouble {
+		s.fleet.mu.Lock()
+		// They are of one data centre, as after a loss of power there.
+		n := 0
+		for _, i := range append([]*instance{}, s.fleet.all...) {
+			if i.zone == zones[0] && n < lost {
+				n++
+				s.fleet.darken(i, "other")
+			}
+		}
+		s.fleet.mu.Unlock()
+	}
+	time.Sleep(reuseTime + 100*time.Millisecond)
+	var ids []string
+	for n := range 6 {
+		id := fmt.Sprintf("5c0e7a21d94b36f%x", n)
+		ids = append(ids, id)
+		s.submit(s.entries[n%len(s.entries)], "pool", id, []object{{"count": 1, "cpu": 12000, "memMb": 256, "estimatedMs": 1000}}, []stepInfo{{count: 1, duration: time.Second}})
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.waitFor(ids, 30*time.Second)
+	result := held
+	for _, id := range ids {
+		state := s.state(s.entries[0], "pool", id)
+		s.fleet.mu.Lock()
+		starts, crashes := len(s.fleet.starts[id+".0.0.0"]), s.fleet.crashes[id+".0.0.0"]
+		s.fleet.mu.Unlock()
+		s.record.write("job %s is %s; its task was begun %d times, %d workers crashed under it, and no run failed", id, state, starts, crashes)
+		if state == "failed" && crashes < 2 {
+			s.record.write("BROKEN: LOST")
+			result = broken
+		}
+	}
+	return result
+}
