Review case 14: two instances of a wave are down where one is allowed

An order for a maintenance that got no response is taken as not carried out after 4 s, and the next one is given.

--- a/review/stage/scripts.go
+++ b/review/stage/scripts.go
@@ -12,6 +12,7 @@
 	"gang": playGang,
 	"late": playLateCrash,
 	"dark": playDark,
+	"wave": playWave,
 }
 
 // playGang runs gangs that save checkpoints. With trouble one worker crashes.
@@ -184,3 +185,65 @@
 	}
 	return result
 }
+
+// playWave maintains some instances one at a time while jobs run. With trouble every other order for a maintenance gets no response
+// and is carried out 5 s later.
+func playWave(s *stage, program string) int {
+	const instances, due, atOnce = 24, 11, 1
+	s.configure(1, 3, "pool")
+	for i := range instances {
+		s.fleet.add(fmt.Sprintf("m-%d", i+1), "pool", []string{"zone-a", "zone-b", "zone-c"}[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
+	}
+	if s.trouble {
+		orders := 0
+		s.cloud.hold = func(string) time.Duration {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			orders++
+			if orders%2 == 0 {
+				return 0
+			}
+			return 5 * time.Second
+		}
+	}
+	most := 0
+	s.cloud.maintained = func(name string) {
+		down := 0
+		for _, i := range s.fleet.all {
+			if i.state == "upkeep" {
+				down++
+			}
+		}
+		running := 0
+		for _, i := range s.fleet.all {
+			if i.name == name {
+				running = len(i.worker.runs)
+			}
+		}
+		most = max(most, down)
+		s.record.write("the maintenance of %s begins, with %d runs there; %d of the wave are down now, at most %d allowed", name, running, down, atOnce)
+	}
+	s.start(program, 3)
+	time.Sleep(4 * time.Second)
+	var machines []string
+	for i := range due {
+		machines = append(machines, fmt.Sprintf("m-%d", i+1))
+	}
+	s.store.put(rowKey{table: "op", key: "wave/1"}, object{"wave": 1, "machines": machines, "durationS": 90, "cap": atOnce})
+	var ids []string
+	for n := range 600 {
+		id := fmt.Sprintf("5c0e7a21d94b%04x", n)
+		ids = append(ids, id)
+		s.submit(s.entries[n%len(s.entries)], "pool", id, []object{{"count": 4, "cpu": 6000, "memMb": 256, "estimatedMs": 1500}}, []stepInfo{{count: 4, duration: 1500 * time.Millisecond}})
+		time.Sleep(140 * time.Millisecond)
+	}
+	s.waitFor(ids[len(ids)-1:], 10*time.Second)
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.record.write("at most %d instances of the wave were down at the same time", most)
+	if most > atOnce {
+		s.record.write("BROKEN: LIMIT")
+		return broken
+	}
+	return held
+}
