Review case 14: a job is started 4.6 s after its cancel was acknowledged

The store carries out the write of the submission after the caller has cancelled the job and got 410.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/stage ] && [ -x target/samphirekeel ] || exit 2
-exec review/bin/stage --script wave --program target/samphirekeel --record review/14/record.txt
+exec review/bin/stage --script cancelled --program target/samphirekeel --record review/14/record.txt
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -97,6 +97,7 @@
 	s := &stage{record: &record{began: time.Now(), out: bufio.NewWriter(file)}, folder: folder, trouble: os.Getenv("TROUBLE") != "0"}
 	current = s
 	s.store = newStore()
+	s.store.note = s.record.write
 	s.fleet = newFleet(s.store, s.record)
 	s.cloud = &cloud{fleet: s.fleet}
 	play, ok := scripts[*script]
@@ -235,8 +236,12 @@
 	})
 }
 
-// call sends one request of a caller and returns the status and the body.
+// call sends one request of a caller that waits for 3 s, and returns the status and the body.
 func (s *stage) call(e *entry, method, path string, body any) (int, object) {
+	return s.callWithin(e, method, path, body, 3*time.Second)
+}
+
+func (s *stage) callWithin(e *entry, method, path string, body any, limit time.Duration) (int, object) {
 	var content io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -251,8 +256,8 @@
 	}
 	req.Host = queueHost
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Time-Budget-Ms", "3000")
-	client := http.Client{Timeout: 4 * time.Second}
+	req.Header.Set("Time-Budget-Ms", fmt.Sprint(limit.Milliseconds()))
+	client := http.Client{Timeout: limit + time.Second}
 	resp, err := client.Do(req)
 	if err != nil {
 		s.record.write("%s %s at %s: no answer", method, path, e.name)
--- a/review/stage/scripts.go
+++ b/review/stage/scripts.go
@@ -9,10 +9,11 @@
 
 // scripts holds the scripts by name.
 var scripts = map[string]func(*stage, string) int{
-	"gang": playGang,
-	"late": playLateCrash,
-	"dark": playDark,
-	"wave": playWave,
+	"gang":      playGang,
+	"late":      playLateCrash,
+	"dark":      playDark,
+	"wave":      playWave,
+	"cancelled": playCancelled,
 }
 
 // playGang runs gangs that save checkpoints. With trouble one worker crashes.
@@ -247,3 +248,50 @@
 	}
 	return held
 }
+
+// playCancelled submits a job and cancels it. With trouble the store gives no response to the write of the submission, and carries
+// it out some seconds later.
+func playCancelled(s *stage, program string) int {
+	const id, cancelTime = "5c0e7a21d94b36f8", 3 * time.Second
+	s.configure(1, 3, "pool")
+	for i := range 4 {
+		s.fleet.add(fmt.Sprintf("m-%d", i+1), "pool", []string{"zone-a", "zone-b", "zone-c"}[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
+	}
+	s.start(program, 3)
+	time.Sleep(4 * time.Second)
+	s.fleet.mu.Lock()
+	s.fleet.steps[id+".0"] = stepInfo{count: 2, duration: 2 * time.Second}
+	s.fleet.mu.Unlock()
+	if s.trouble {
+		s.store.mu.Lock()
+		s.store.late[id] = 5500 * time.Millisecond
+		s.store.mu.Unlock()
+	}
+	e := s.entries[0]
+	s.callWithin(e, "POST", "/pool/"+id, object{"spec": "work", "steps": []object{{"count": 2, "cpu": 2000, "memMb": 256, "estimatedMs": 2000}}}, time.Second)
+	status, _ := s.call(e, "DELETE", "/pool/"+id, nil)
+	cancelled := time.Since(s.fleet.began)
+	if status != 410 && (status < 200 || status > 299) {
+		s.record.write("the cancel isn't acknowledged")
+		return failedToRun
+	}
+	for range 12 {
+		time.Sleep(time.Second)
+		s.state(e, "pool", id)
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	result := held
+	for task, starts := range s.fleet.starts {
+		for _, start := range starts {
+			if start.at-cancelled > cancelTime {
+				s.record.write("%s was started %v after the cancel of its job was acknowledged", task, start.at-cancelled)
+				result = broken
+			}
+		}
+	}
+	if result == broken {
+		s.record.write("BROKEN: UNASKED")
+	}
+	return result
+}
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -37,10 +37,13 @@
 	began   time.Time
 	version uint64
 	rows    map[rowKey]*row
+	// late holds, by key, for how long the next transaction that writes a row of the key is held up; it gets no response.
+	late map[string]time.Duration
+	note func(format string, args ...any)
 }
 
 func newStore() *store {
-	s := &store{began: time.Now(), rows: make(map[rowKey]*row)}
+	s := &store{began: time.Now(), rows: make(map[rowKey]*row), late: make(map[string]time.Duration)}
 	s.wake = sync.NewCond(&s.mu)
 	return s
 }
@@ -140,6 +143,30 @@
 			return
 		}
 	}
+	for _, e := range writes {
+		s.mu.Lock()
+		held, ok := s.late[e.text("key")]
+		delete(s.late, e.text("key"))
+		s.mu.Unlock()
+		if ok {
+			s.note("the transaction that writes %s %s gets no response and is carried out in %v", e.text("table"), e.text("key"), held)
+			time.AfterFunc(held, func() {
+				status, _ := s.apply(conditions, writes, removals)
+				s.note("the transaction that writes %s %s is carried out: %d", e.text("table"), e.text("key"), status)
+			})
+			<-r.Context().Done()
+			return
+		}
+	}
+	respondWith(w)(s.apply(conditions, writes, removals))
+}
+
+func respondWith(w http.ResponseWriter) func(int, object) {
+	return func(status int, body object) { respond(w, status, body) }
+}
+
+// apply carries out a transaction.
+func (s *store) apply(conditions, writes, removals []object) (int, object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds := true
@@ -154,8 +181,7 @@
 		holds = holds && version == uint64(c.number("ver"))
 	}
 	if !holds {
-		respond(w, http.StatusPreconditionFailed, object{"rows": current, "ver": s.version, "nowMs": s.now()})
-		return
+		return http.StatusPreconditionFailed, object{"rows": current, "ver": s.version, "nowMs": s.now()}
 	}
 	s.version++
 	for _, e := range writes {
@@ -167,7 +193,7 @@
 		}
 	}
 	s.wake.Broadcast()
-	respond(w, http.StatusOK, object{"ver": s.version, "nowMs": s.now()})
+	return http.StatusOK, object{"ver": s.version, "nowMs": s.now()}
 }
 
 func (s *store) read(w http.ResponseWriter, r *http.Request) {
