--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -45,6 +46,7 @@
 type entry struct {
 	name, callers string
 	command       *exec.Cmd
+	ended         atomic.Bool
 }
 
 // stage is the installation that a script plays on.
@@ -117,9 +119,12 @@
 
 func (s *stage) end() {
 	for _, e := range s.entries {
-		_ = e.command.Process.Signal(syscall.SIGCONT)
 		_ = e.command.Process.Kill()
-		_, _ = e.command.Process.Wait()
+	}
+	for _, e := range s.entries {
+		for !e.ended.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
 	}
 	_ = os.RemoveAll(s.folder)
 }
@@ -158,11 +163,40 @@
   harmMs: 4000
 `
 
+// freeNet returns the third number of loopback addresses of which n have their ports free.
+func freeNet(n int) int {
+	const nets = 200
+	for i := range nets {
+		base := 20 + (os.Getpid()+i)%nets
+		var held []net.Listener
+		free := true
+		for k := range n {
+			for _, port := range []int{7060, 7071, 8622, 8624} {
+				l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", base, k+11, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				held = append(held, l)
+			}
+		}
+		for _, l := range held {
+			_ = l.Close()
+		}
+		if !free {
+			continue
+		}
+		return base
+	}
+	fail(fmt.Errorf("no free ports"))
+	return 0
+}
+
 // start starts n entries, one in each of up to three zones, and waits until they serve.
 func (s *stage) start(program string, n int) {
 	storeAddress, cloudAddress := listen(s.store), listen(s.cloud)
 	zones := []string{"zone-a", "zone-b", "zone-c"}
-	base := 20 + os.Getpid()%200
+	base := freeNet(n)
 	for i := range n {
 		ip := fmt.Sprintf("127.0.%d.%d", base, i+11)
 		name := fmt.Sprintf("edge-%d", i+1)
@@ -197,10 +231,18 @@
 			fail(err)
 		}
 		s.entries = append(s.entries, e)
+		go func() {
+			err := e.command.Wait()
+			e.ended.Store(true)
+			s.record.write("%s has ended: %v", e.name, err)
+		}()
 	}
 	deadline := time.Now().Add(20 * time.Second)
 	for _, e := range s.entries {
 		for {
+			if e.ended.Load() {
+				fail(fmt.Errorf("%s has ended", e.name))
+			}
 			resp, err := s.client.Get("http://" + strings.Replace(e.callers, ":8624", ":8622", 1) + "/v1/ready")
 			if err == nil {
 				_ = resp.Body.Close()
@@ -214,6 +256,12 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
+	time.Sleep(200 * time.Millisecond)
+	for _, e := range s.entries {
+		if e.ended.Load() {
+			fail(fmt.Errorf("%s has ended", e.name))
+		}
+	}
 	s.record.write("%d entries are ready", n)
 }
 
--- a/review/stage/scripts.go
+++ b/review/stage/scripts.go
@@ -18,7 +18,7 @@
 
 // playGang runs gangs that save checkpoints. With trouble one worker crashes.
 func playGang(s *stage, program string) int {
-	const members, gangs, instances = 6, 4, 7
+	const members, gangs, instances = 6, 4, 8
 	s.configure(1, 3, "pool")
 	for i := range instances {
 		s.fleet.add(fmt.Sprintf("m-%d", i+1), "pool", []string{"zone-a", "zone-b", "zone-c"}[i%3], 16000, 32768, "kind-a", fmt.Sprintf("r%d-1", i%3+1))
