schedule: a start that another worker refuses is no crash

Callers saw an accepted job as failed 0.2 s later although its task was never begun: four idle workers had fallen silent, workers of another pool had got their addresses, and three of them answered the start with 421.

Cause: handleStartReply removed the worker as crashed with the refused run still on it. That run had lasted 0 ms on an empty worker, so it counted as the only possible cause of the crash, and three such crashes end the job.

Fix: the run is abandoned before the crash is recorded, as after other refusals. If the order was sent more than once, an earlier one may have been carried out, so such runs still count.

--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -325,6 +325,10 @@
 		}
 		s.scheduleRenewal(w, minRenewInterval)
 	case worker.OtherBoot:
+		if r.repeats == 0 && !r.begun {
+			// The worker had ended before it got the order, so that the run can't have crashed it.
+			s.abandonStart(r, "another worker responds at its address")
+		}
 		s.removeReplaced(w)
 	case worker.Superseded:
 		// The worker may know a run with a higher number from an earlier leader, which its list shows.
