schedule: a start without a response is no proof of a crash

Callers saw an accepted job as failed although its task was never begun: each worker that it was ordered to had ended before the order, and was found to be gone while the start had no response.

Cause: a run that isn't known to have begun counted like one that had lasted 0 ms. An idle worker is heard every 20 s only, so that nothing tells whether it ended by the run or before it. task_suspected didn't say whether the run had begun; it has begun and likely now.

Fix: such a run counts fully only if its worker responded within 0.2 s before the order, and otherwise keeps its task apart from others. A suspected task starts on an empty worker only just after a response, so that a task that does crash its workers is found out as before. A late response that shows that a run never began takes its crash out of the history.

Before the fix TestLostStartsAreNoCrashes/addresses_reused_after_orders failed with 0 of 1 jobs completed; now all of its cases pass, and so do TestTaskThatCrashesItsWorkers and the rest of keel/schedule.

--- a/keel/schedule/crash.go
+++ b/keel/schedule/crash.go
@@ -152,6 +152,9 @@
 		if r.survived() >= provenTime || unconfirmed && !c.Likely || r.task.done || !r.task.job().open() {
 			continue
 		}
+		if r.isUnverified() {
+			c.Likely, c.Sole = false, false
+		}
 		if c.Likely {
 			suspects++
 		}
@@ -216,7 +219,7 @@
 	return work.CrashedRun{
 		Step: id.Step, Occurrence: id.Occurrence, Index: id.Index, Run: r.number, Worker: w.ID, Instance: w.Instance,
 		SurvivedMillis: survived.Milliseconds(), Suspect: suspect, Likely: likely, Sole: suspect && !common && w.isSoleSuspect(r.task), Common: common,
-		Unanswered: r.isUnanswered() || r.confirmedAt == 0,
+		Unanswered: !r.begun,
 	}
 }
 
@@ -315,7 +318,7 @@
 		s.Log.WriteFunc(event.TaskSuspected, func() event.Fields {
 			return event.Fields{
 				"task": t.id().String(), "run": c.Run, "worker": c.Worker, "survived_ms": c.SurvivedMillis, "sole": c.Sole, "common": c.Common,
-				"crashes": len(h.runs), "crashes_sole": h.sole, "unconfirmed": h.unconfirmed,
+				"crashes": len(h.runs), "crashes_sole": h.sole, "unconfirmed": h.unconfirmed, "begun": !c.Unanswered, "likely": c.Likely,
 			}
 		})
 	}
--- a/keel/schedule/gang.go
+++ b/keel/schedule/gang.go
@@ -42,6 +42,9 @@
 		reserved.add(w, step.size())
 		selected[i] = w
 	}
+	if from != nil && !pl.s.verifyAll(selected) {
+		return false
+	}
 	for i, t := range step.tasks {
 		pl.s.start(t, selected[i], number, step.tickets.forWorker(selected[i]))
 	}
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -214,6 +214,7 @@
 			s.noteUnanswered(r)
 		}
 		if r.removed {
+			s.retractCrash(r, reply, err)
 			return
 		}
 		switch {
--- a/keel/schedule/suspect.go
+++ b/keel/schedule/suspect.go
@@ -162,7 +162,7 @@
 			pl.reserveFor(t, min(unplaced, max(maxMissingTrials, t.job().pool.waitingSuspects/waitingPerTrial)))
 			continue
 		}
-		if pl.s.mayStartTrial(t, t.nextRun) {
+		if pl.s.verify(w) && pl.s.mayStartTrial(t, t.nextRun) {
 			pl.s.start(t, w, t.nextRun, step.tickets.forWorker(w))
 			continue
 		}
