entry, ledger: an acknowledged cancel holds against submissions on their way

Callers who cancelled a job after a 504 got 410, and the job was started 4.6 s later: the store had carried out the write of its submission in the meantime. One who sent the submission again after the cancel had it run too.

Cause: the cancel of a job that isn't stored left nothing that a later write would meet.

Fix: such a cancel stores a row in place of the ended job, on condition that there is neither a submission nor an ended job. Every submission is conditioned on the absence of that row, so none that is on its way is stored, whichever entry sent it. Callers still get 410; a submission that meets the row becomes a cancelled job. The row goes with those of ended jobs.

--- a/entry/site/peers.go
+++ b/entry/site/peers.go
@@ -261,12 +261,41 @@
 	if ok {
 		return viaLeader, nil
 	}
-	err := s.checkStoredTenant(ctx, callCancel, access, id)
-	if err == nil {
-		err = s.jobs.Cancel(ctx, id)
-	}
+	err := s.cancelInStore(ctx, access, id)
 	if err != nil && !fault.IsKind(err, fault.NotExist) {
 		return viaStore, fault.Wrap(fault.PlatformUnavailable, err, "failed to store the cancellation of job %s", id).WithRetryAfter(retryAfter)
 	}
 	return viaStore, err
 }
+
+// maxCancelAttempts limits how often a job is cancelled anew that was submitted while its cancel was being stored, or of which the cancel
+// may not have been stored.
+const maxCancelAttempts = 3
+
+// cancelInStore cancels a job by a row in the store. A submission of a job that isn't stored may still be on its way, also one that
+// another entry has sent; so that fails with kind NotExist only once no such submission can be stored any more.
+func (s *Entry) cancelInStore(ctx context.Context, access tenant.Access, id string) error {
+	var err error
+	for range maxCancelAttempts {
+		foreign, ownerErr := s.isForeign(ctx, access, id)
+		if foreign {
+			return s.foreignJob(callCancel, access, id)
+		}
+		err = ownerErr
+		if err == nil {
+			err = s.jobs.Cancel(ctx, id)
+		}
+		if !fault.IsKind(err, fault.NotExist) {
+			return err
+		}
+		unknown := err
+		err = s.submissions.CancelUnknown(ctx, id, access.Tenant)
+		if err == nil {
+			return unknown
+		}
+		if !fault.IsKind(err, fault.Conflict) && fault.As(err).Outcome() != fault.Unknown {
+			return err
+		}
+	}
+	return err
+}
--- a/entry/site/tenants.go
+++ b/entry/site/tenants.go
@@ -114,16 +114,22 @@
 // checkStoredTenant fails with kind NotExist if the store has no job with the ID, or one that the caller may not see. A caller who
 // may see all jobs costs no read.
 func (s *Entry) checkStoredTenant(ctx context.Context, call string, access tenant.Access, id string) error {
-	if !access.Restricted {
-		return nil
-	}
-	owner, err := s.jobs.Tenant(ctx, id)
-	if err == nil && !access.Allows(owner) {
+	foreign, err := s.isForeign(ctx, access, id)
+	if foreign {
 		return s.foreignJob(call, access, id)
 	}
 	return err
 }
 
+// isForeign reports whether the store has a job with the ID that the caller may not see; it fails with kind NotExist if it has none.
+func (s *Entry) isForeign(ctx context.Context, access tenant.Access, id string) (bool, error) {
+	if !access.Restricted {
+		return false, nil
+	}
+	owner, err := s.jobs.Tenant(ctx, id)
+	return err == nil && !access.Allows(owner), err
+}
+
 // foreignJob logs a call for the job of another tenant and returns the error of a job that doesn't exist.
 func (s *Entry) foreignJob(call string, access tenant.Access, id string) error {
 	s.Log.Write(event.ForeignJob, event.Fields{"job": id, "call": call, "tenant": access.Tenant})
--- a/keel/emulator/store.go
+++ b/keel/emulator/store.go
@@ -80,6 +80,8 @@
 	// idleFrom is the time at which a partition has finished its queued transactions.
 	idleFrom     map[string]time.Time
 	activeFaults map[*StoreFault]bool
+	// heldUp holds the delays of HoldUp by the name of the row.
+	heldUp map[string]time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 	// Reads and Writes count the page reads and the queued transactions.
@@ -90,7 +92,7 @@
 func NewStore(random *rand.Rand) *Store {
 	return &Store{
 		RowBytes: defaultRowBytes, random: random, rows: make(map[table.Key]table.Row), createdAt: time.Now(), idleFrom: make(map[string]time.Time),
-		activeFaults: make(map[*StoreFault]bool), changed: make(chan struct{}),
+		activeFaults: make(map[*StoreFault]bool), heldUp: make(map[string]time.Duration), changed: make(chan struct{}),
 	}
 }
 
@@ -195,6 +197,10 @@
 	if err != nil {
 		return table.Result{}, err
 	}
+	heldUp, ok := s.takeHoldUp(txn)
+	if ok {
+		lost, delay = true, heldUp
+	}
 	if !sleep(ctx, s.queueDelay(partition, slow)) {
 		// The request was already sent, so the store applies it although the caller has given up.
 		_, _ = s.apply(txn)
--- a/keel/ledger/ledger.go
+++ b/keel/ledger/ledger.go
@@ -85,6 +85,9 @@
 	// Outcome is nil in rows of earlier versions, which replaced the submission in its own table and kept the outcome in
 	// JobRecords.
 	Outcome *work.Outcome `json:"outcome,omitempty"`
+	// Unsubmitted reports that the job was cancelled before a submission of it was stored. Callers see no such job, and none that is
+	// submitted under its ID runs.
+	Unsubmitted bool `json:"unsubmitted,omitempty"`
 }
 
 // JobRecord is the leader's record of a job: its progress until the job ends, then its outcome.
@@ -168,6 +171,8 @@
 	Digest  uint64
 	Ended   bool
 	Outcome *work.Outcome
+	// Unsubmitted is that of the stub.
+	Unsubmitted bool
 	// Tenant is the name of the tenant that submitted the job, empty for none and for rows of earlier versions.
 	Tenant string
 }
@@ -176,14 +181,16 @@
 func DecodeSubmission(row table.Row) (Submission, error) {
 	var decoded struct {
 		work.Job
-		Ended   bool          `json:"ended"`
-		Outcome *work.Outcome `json:"outcome"`
+		Ended       bool          `json:"ended"`
+		Outcome     *work.Outcome `json:"outcome"`
+		Unsubmitted bool          `json:"unsubmitted"`
 	}
 	err := json.Unmarshal(row.Value, &decoded)
 	if err != nil {
 		return Submission{}, fault.Wrap(fault.Internal, err, "decode submission %s", row.Name)
 	}
-	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended, Outcome: decoded.Outcome, Tenant: decoded.Tenant}
+	s := Submission{Version: row.Version, Digest: decoded.Digest, Ended: decoded.Ended, Outcome: decoded.Outcome, Tenant: decoded.Tenant,
+		Unsubmitted: decoded.Unsubmitted}
 	if decoded.Outcome != nil {
 		s.Tenant = decoded.Outcome.Tenant
 	}
@@ -259,6 +266,9 @@
 	if err != nil {
 		return "", err
 	}
+	if ended.Unsubmitted {
+		return "", fault.New(fault.NotExist, "job %s", id)
+	}
 	return ended.Outcome.State, nil
 }
 
@@ -362,7 +372,7 @@
 	return err
 }
 
-// cancelAttemptTimeout is the timeout for writing a cancel request to one partition.
+// cancelAttemptTimeout is the timeout for writing cancel requests to one partition.
 const cancelAttemptTimeout = 600 * time.Millisecond
 
 func cancelKey(id string) table.Key { return table.Key{Table: Cancels, Name: id} }
--- a/keel/ledger/submission_writer.go
+++ b/keel/ledger/submission_writer.go
@@ -30,8 +30,9 @@
 	// RowBytes is the maximum size of a row's value in the store, 0 for DefaultRowBytes.
 	RowBytes int
 
-	queues  [SubmissionPartitionCount]partitionQueue
-	latency atomic.Int64
+	// queues holds the submissions by partition, cancels the cancels of unknown jobs, which don't wait for submissions.
+	queues, cancels [SubmissionPartitionCount]partitionQueue
+	latency         atomic.Int64
 }
 
 // partitionQueue queues the pending submissions of one partition.
@@ -46,6 +47,10 @@
 type pendingSubmission struct {
 	job  *work.Job
 	body []byte
+	// cancel reports that no job is to be stored, but that none may be stored any more under the ID.
+	cancel bool
+	// unsubmitted is the version of the row of an earlier cancel that the submission replaces, 0 for none.
+	unsubmitted uint64
 	// abandoned is set once the caller no longer waits.
 	abandoned bool
 	result    chan commitResult
@@ -67,7 +72,16 @@
 	if len(s.body) > w.rowBytes() {
 		return Submission{}, tooLarge(s)
 	}
+	return w.enqueue(ctx, s)
+}
+
+// enqueue adds the submission to its queue and waits until it is stored.
+func (w *SubmissionWriter) enqueue(ctx context.Context, s *pendingSubmission) (Submission, error) {
+	job := s.job
 	q := &w.queues[partitionNumber(job.ID)]
+	if s.cancel {
+		q = &w.cancels[partitionNumber(job.ID)]
+	}
 	q.mu.Lock()
 	if len(q.pending) >= maxBacklog {
 		q.mu.Unlock()
@@ -149,15 +163,14 @@
 	for len(batch) > 0 {
 		var txn table.Txn
 		for _, s := range batch {
-			k := SubmissionKey(s.job.ID)
-			txn.Conditions = append(txn.Conditions, table.Condition{Key: k}, table.Condition{Key: EndedKey(s.job.ID)})
+			k, ended := SubmissionKey(s.job.ID), EndedKey(s.job.ID)
+			txn.Conditions = append(txn.Conditions, table.Condition{Key: k}, table.Condition{Key: ended, Version: s.unsubmitted})
+			if s.cancel || s.unsubmitted != 0 {
+				k = ended
+			}
 			txn.Writes = append(txn.Writes, table.Write{Key: k, Value: s.body})
 		}
-		start := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
-		result, err := w.Store.Commit(ctx, txn)
-		cancel()
-		w.latency.Store(int64(time.Since(start)))
+		result, err := w.commit(txn, batch[0].cancel)
 		if fault.IsKind(err, fault.Internal) && len(batch) > 1 {
 			w.commitBatch(batch[:len(batch)/2])
 			w.commitBatch(batch[len(batch)/2:])
@@ -174,6 +187,22 @@
 	}
 }
 
+// commit sends a transaction of submissions, or of cancels.
+func (w *SubmissionWriter) commit(txn table.Txn, cancels bool) (table.Result, error) {
+	timeout := commitTimeout
+	if cancels {
+		timeout = cancelAttemptTimeout
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	result, err := w.Store.Commit(ctx, txn)
+	if !cancels {
+		w.latency.Store(int64(time.Since(start)))
+	}
+	return result, err
+}
+
 // unknownIfConflict turns a conflict into an error of unknown outcome. It is called for conflicts without existing
 // rows, which can't be distinguished from a success whose response was lost.
 func unknownIfConflict(err error) error {
@@ -185,7 +214,11 @@
 
 func resolveAll(batch []*pendingSubmission, version uint64, err error) {
 	for _, s := range batch {
-		s.result <- commitResult{stored: Submission{Job: s.job, Version: version, Digest: s.job.Digest, Tenant: s.job.Tenant}, err: err}
+		stored := Submission{Job: s.job, Version: version, Digest: s.job.Digest, Tenant: s.job.Tenant}
+		if s.unsubmitted != 0 {
+			stored.Job, stored.Ended = nil, true
+		}
+		s.result <- commitResult{stored: stored, err: err}
 	}
 }
 
@@ -201,19 +234,30 @@
 	for _, s := range batch {
 		row, ok := existing[s.job.ID]
 		if !ok {
+			s.restore()
+		}
+		if !ok || s.replaceUnsubmitted(row) {
 			remaining = append(remaining, s)
 			continue
 		}
-		s.result <- compareStored(s.job, row)
+		s.result <- s.compareStored(row)
 	}
 	return remaining
 }
 
 // compareStored returns the result of a submission whose ID already has a row.
-func compareStored(job *work.Job, row table.Row) commitResult {
+func (s *pendingSubmission) compareStored(row table.Row) commitResult {
+	job := s.job
 	stored, err := DecodeSubmission(row)
-	if err != nil {
+	switch {
+	case err != nil:
 		return commitResult{err: err}
+	case s.cancel && stored.Unsubmitted:
+		return commitResult{stored: stored}
+	case s.cancel:
+		return commitResult{err: fault.New(fault.Conflict, "job %s was submitted meanwhile", job.ID)}
+	case stored.Unsubmitted:
+		return commitResult{err: fault.New(fault.KeyReused, "job %s was cancelled by another tenant", job.ID)}
 	}
 	if stored.Digest != job.Digest {
 		return commitResult{err: fault.New(fault.KeyReused, "job %s was submitted with another body", job.ID)}
--- a/keel/schedule/ended.go
+++ b/keel/schedule/ended.go
@@ -211,7 +211,7 @@
 		if page.earliest == 0 || ended.Outcome.Ended < page.earliest {
 			page.earliest = ended.Outcome.Ended
 		}
-		if age <= retention {
+		if age <= retention && !ended.Unsubmitted {
 			page.recent[row.Name] = ended.Outcome
 		}
 	}
