schedule: all members of a gang resume from the same checkpoint

After the crash of one worker the gangs that had a member there were started with two different checkpoints, again and again, and their jobs never ended.

Cause: each member was started with its own latest checkpoint, and that of the crashed worker came from a list up to 1.2 s older. The value from any member is valid for the gang, and all must carry the same one.

Fix: a gang has one checkpoint, the last one that was listed for any member.

--- a/keel/schedule/estimate.go
+++ b/keel/schedule/estimate.go
@@ -97,7 +97,7 @@
 	t := r.task
 	spec, queue := t.step.spec, t.job().Queue
 	remote := spec.DataRack != "" && spec.DataRack != r.worker.Rack
-	if took <= 0 || spec.Estimate <= 0 || spec.LongRunning || spec.BestEffort || spec.SameRack || remote || t.checkpoint != "" {
+	if took <= 0 || spec.Estimate <= 0 || spec.LongRunning || spec.BestEffort || spec.SameRack || remote || t.latestCheckpoint() != "" {
 		return
 	}
 	now := s.Now()
--- a/keel/schedule/job.go
+++ b/keel/schedule/job.go
@@ -107,6 +107,8 @@
 	criticalPath time.Duration
 	// crashes counts the crashes under a gang, nil if there are none.
 	crashes *crashHistory
+	// checkpoint is the latest one of a gang, empty for none.
+	checkpoint string
 	// tickets holds the tickets of the queue's placement policy.
 	tickets stepTickets
 }
@@ -128,7 +130,8 @@
 	// failedOn counts the task's failures by instance ID.
 	failedOn map[string]int
 	// crashedOn holds the instances whose worker has booted again under the task.
-	crashedOn  map[string]bool
+	crashedOn map[string]bool
+	// checkpoint is the latest one of the task, empty for none and for a member of a gang.
 	checkpoint string
 	// readySince is when the task last became able to start: an order that failed, or had no effect, doesn't change it. notBefore is
 	// the end of its back-off after a failure.
--- a/keel/schedule/restore.go
+++ b/keel/schedule/restore.go
@@ -34,7 +34,7 @@
 		id, ok := work.ParseTaskID(j.ID + "." + name)
 		t := s.task(j, id)
 		if ok && t != nil {
-			t.checkpoint = checkpoint
+			t.setCheckpoint(checkpoint)
 		}
 	}
 	s.checkJobDone(j)
--- a/keel/schedule/run.go
+++ b/keel/schedule/run.go
@@ -195,7 +195,7 @@
 	r.setIsolation(t.suspicion())
 	order := worker.StartOrder{
 		Task: t.id(), Run: number, Spec: t.job().Spec, LeaseEnd: s.extendLease(w), Token: s.Epoch,
-		Checkpoint: t.checkpoint, Ticket: ticket,
+		Checkpoint: t.latestCheckpoint(), Ticket: ticket,
 	}
 	s.sendStart(r, order)
 }
@@ -420,9 +420,7 @@
 	r.listedAt, r.listing = now, r.worker.listings
 	r.load = live.Load
 	s.observeTail(r, now)
-	if live.Checkpoint != "" {
-		r.task.checkpoint = live.Checkpoint
-	}
+	r.task.setCheckpoint(live.Checkpoint)
 }
 
 // maxFailureBackoffs is the maximum multiple of failureBackoff.
--- a/keel/schedule/task_end.go
+++ b/keel/schedule/task_end.go
@@ -42,9 +42,7 @@
 	t.nextRun = max(t.nextRun, end.Run+1)
 	s.recordJobBegun(j)
 	s.endTrial(t, end.Run)
-	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
-	}
+	t.setCheckpoint(end.Checkpoint)
 	if t.step.spec.LongRunning {
 		s.endLongRunning(w, t, end, r)
 		return nil, 0
