--- a/entry/site/cancel_test.go
+++ b/entry/site/cancel_test.go
@@ -89,15 +89,20 @@
 	for time.Since(cancelled) < 15*time.Second {
 		time.Sleep(time.Second)
 		for _, id := range ids {
-			status, state := p.state(asked, id)
-			// Of several submissions one that its entry was still sending may have met the cancel.
-			shown := status == fasthttp.StatusOK && state == string(work.Cancelled) && (c.Again || c.Jobs > 1)
-			assert.Assert(p.t, shown || !c.Again && status == fasthttp.StatusGone, "job %s: %d %q", id, status, state)
+			c.checkState(p, asked, id)
 		}
 	}
 	assert.Equal(p.t, p.fleet.StartOrders(), 0)
 }
 
+// checkState fails the test unless the entry shows that there is no such job or, after another submission, that it is cancelled.
+func (c *cancelCase) checkState(p *dayRun, entry, id string) {
+	status, state := p.state(entry, id)
+	// Of several submissions one that its entry was still sending may have met the cancel.
+	shown := status == fasthttp.StatusOK && state == string(work.Cancelled) && (c.Again || c.Jobs > 1)
+	assert.Assert(p.t, shown || !c.Again && status == fasthttp.StatusGone, "job %s: %d %q", id, status, state)
+}
+
 // forEach runs f for all jobs at once.
 func (p *dayRun) forEach(ids []string, f func(id string)) {
 	var group sync.WaitGroup
